Add the thin whole path in separate processes

Cause: the repository was empty. Change: workspace of packages, node process with caller, target, peer and operator listeners, minted operation identities, operation table, retry allowance, verdicts, record watch, stand-ins for platform and targets, test driver. Measured: a reversible call passes three services and a withdrawal runs once and is replayed through another node (packages/test-driver/src/lib/whole-path.test.ts, 2 tests).

--- /dev/null
+++ b/packages/identity/src/lib/identity-authority.ts
@@ -0,0 +1,110 @@
+/**
+ * Mints and verifies operation identities: signed tokens that name the one executor of an irreversible operation.
+ */
+import {randomUUID} from 'node:crypto';
+import jsonwebtoken from 'jsonwebtoken';
+
+/** @public */
+export type IdentityKey = {
+	/** Key id, sent in the token's header. */
+	id: string;
+	/** Shared secret of at least 32 characters. */
+	secret: string;
+};
+
+/**
+ * The claims of an identity. Times are in milliseconds since the Unix epoch.
+ *
+ * @public
+ */
+export type OperationIdentity = {
+	operation: string;
+	service: string;
+	kind: string;
+	executor: string;
+	executorAddress: string;
+	incarnation: string;
+	failureDomain: string;
+	issuedAt: number;
+	expiresAt: number;
+	generation: number;
+};
+
+/** @public */
+export type MintRequest = {
+	service: string;
+	kind: string;
+	executor: string;
+	executorAddress: string;
+	incarnation: string;
+	failureDomain: string;
+	lifetimeMilliseconds: number;
+};
+
+/** @public */
+export type IdentityCheck = {valid: true; identity: OperationIdentity} | {valid: false};
+
+const algorithm = 'HS256';
+
+/**
+ * Signs with the first key and verifies with any, so that keys can be rotated node by node.
+ *
+ * @public
+ */
+export class IdentityAuthority {
+	private readonly secrets: Map<string, string>;
+
+	constructor(private readonly keys: readonly IdentityKey[]) {
+		this.secrets = new Map(keys.map(key => [key.id, key.secret]));
+	}
+
+	mint(request: MintRequest, now: number): string {
+		const {lifetimeMilliseconds, ...claims} = request;
+		return this.sign({
+			...claims, operation: randomUUID(), issuedAt: now, expiresAt: now + lifetimeMilliseconds, generation: 0,
+		});
+	}
+
+	/** Signs the same operation with another generation. */
+	renew(identity: OperationIdentity, generation: number): string {
+		return this.sign({...identity, generation});
+	}
+
+	/** Checks the signature and the shape. Expiry is judged by the executor, whose clock decides. */
+	verify(token: string): IdentityCheck {
+		try {
+			const decoded = jsonwebtoken.decode(token, {complete: true});
+			const secret = this.secrets.get(decoded?.header.kid ?? '');
+			if (secret === undefined) {
+				return {valid: false};
+			}
+
+			const payload = jsonwebtoken.verify(token, secret, {algorithms: [algorithm]});
+			return isIdentity(payload) ? {valid: true, identity: payload} : {valid: false};
+		} catch {
+			return {valid: false};
+		}
+	}
+
+	private sign(identity: OperationIdentity): string {
+		const key = this.keys[0];
+		if (key === undefined) {
+			throw new RangeError('no identity key is configured');
+		}
+
+		return jsonwebtoken.sign(identity, key.secret, {algorithm, keyid: key.id, noTimestamp: true});
+	}
+}
+
+const textClaims = ['operation', 'service', 'kind', 'executor', 'executorAddress', 'incarnation', 'failureDomain'] as const;
+const numberClaims = ['issuedAt', 'expiresAt', 'generation'] as const;
+
+function isIdentity(payload: unknown): payload is OperationIdentity {
+	if (typeof payload !== 'object' || payload === null) {
+		return false;
+	}
+
+	const claims = payload as Record<string, unknown>;
+	return textClaims.every(name => typeof claims[name] === 'string')
+		&& numberClaims.every(name => Number.isFinite(claims[name]));
+}
--- /dev/null
+++ b/packages/load/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Load and experiment tool, reports and the demo.
+ */
+export const packageName = '@hemlockthread/load';
--- /dev/null
+++ b/packages/node/src/lib/call-registry.ts
@@ -0,0 +1,117 @@
+/**
+ * The calls that are in progress at the target beside this node. A target refers to them by an opaque reference, so the
+ * values of a call's context never leave the node and can't be forged.
+ */
+import {randomBytes} from 'node:crypto';
+import type {RetryAllowance} from '@hemlockthread/identity';
+import {Verdict, type VerdictName} from '@hemlockthread/verdict';
+import type {Call, CallResult} from './call.js';
+
+/** @public */
+export const callRegistryOptions = {
+	maximumCalls: 4096,
+	/** Distinct downstream legs of one call. */
+	maximumLegs: 256,
+	/** Calls below one another. */
+	maximumDepth: 16,
+} as const;
+
+const referenceBytes = 16;
+
+/** One downstream leg of a call in progress. @public */
+export type Leg = {
+	irreversible: boolean;
+	attempts: number;
+	verdict: VerdictName;
+	/** Identity of an irreversible leg; replaced only after a certain `did-not-run`. */
+	identity?: Call['identity'];
+	/** The last finished result, replayed for an irreversible leg that ran. */
+	result?: CallResult;
+	running?: Promise<CallResult>;
+};
+
+/** A call that the target works on. @public */
+export class CallInProgress {
+	readonly reference = randomBytes(referenceBytes).toString('hex');
+	readonly legs = new Map<string, Leg>();
+	/** Most restrictive level heard from below. */
+	subtreeLevel = 0;
+	readonly signal: AbortSignal;
+	private readonly controller = new AbortController();
+
+	constructor(readonly call: Call, readonly allowance: RetryAllowance) {
+		this.signal = AbortSignal.any([call.signal, this.controller.signal]);
+	}
+
+	/** Returns the leg with the key, or a new one; undefined at the limit. */
+	leg(key: string, irreversible: boolean): Leg | undefined {
+		const held = this.legs.get(key);
+		if (held !== undefined) {
+			return held;
+		}
+
+		if (this.legs.size >= callRegistryOptions.maximumLegs) {
+			return undefined;
+		}
+
+		const leg: Leg = {irreversible, attempts: 0, verdict: Verdict.didNotRun};
+		this.legs.set(key, leg);
+		return leg;
+	}
+
+	irreversibleVerdicts(): VerdictName[] {
+		return [...this.legs.values()].filter(leg => leg.irreversible).map(leg => leg.verdict);
+	}
+
+	/** Cancels what still runs below this call. */
+	end(): void {
+		this.controller.abort();
+	}
+}
+
+/**
+ * Holds the calls in progress.
+ *
+ * @public
+ */
+export class CallRegistry {
+	private readonly calls = new Map<string, CallInProgress>();
+
+	get size(): number {
+		return this.calls.size;
+	}
+
+	/** Registers a call; undefined at the limit. */
+	begin(call: Call, allowance: RetryAllowance): CallInProgress | undefined {
+		if (this.calls.size >= callRegistryOptions.maximumCalls) {
+			return undefined;
+		}
+
+		const inProgress = new CallInProgress(call, allowance);
+		this.calls.set(inProgress.reference, inProgress);
+		return inProgress;
+	}
+
+	end(inProgress: CallInProgress): void {
+		this.calls.delete(inProgress.reference);
+		inProgress.end();
+	}
+
+	lookUp(reference: string | undefined): CallInProgress | undefined {
+		return reference === undefined ? undefined : this.calls.get(reference);
+	}
+
+	/** The only call in progress, when there is exactly one. */
+	only(): CallInProgress | undefined {
+		return this.calls.size === 1 ? this.calls.values().next().value : undefined;
+	}
+
+	dump(): unknown {
+		let legs = 0;
+		for (const call of this.calls.values()) {
+			legs += call.legs.size;
+		}
+
+		return {inProgress: this.calls.size, legs};
+	}
+}
--- /dev/null
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -0,0 +1,82 @@
+/**
+ * What this node does with the frames of its peers.
+ */
+import {performance} from 'node:perf_hooks';
+import type {RecordDistributor} from '@hemlockthread/distribution';
+import {RetryAllowance, type IdentityAuthority} from '@hemlockthread/identity';
+import type {FleetView} from '@hemlockthread/membership';
+import type {Logs} from '@hemlockthread/telemetry';
+import {RefusalReason, Verdict} from '@hemlockthread/verdict';
+import type {
+	AnswerBody, IncomingRequest, PeerConnection, PeerHandlers, Frame,
+} from '@hemlockthread/wire';
+import type {CallExecutor} from './call-executor.js';
+import {refusal, type Call, type CallResult} from './call.js';
+
+/**
+ * Connects the peer protocol with the managers of this node.
+ *
+ * @public
+ */
+export class NodePeerHandlers implements PeerHandlers {
+	executor!: CallExecutor;
+
+	constructor(
+		private readonly distributor: RecordDistributor,
+		private readonly fleet: FleetView,
+		private readonly authority: IdentityAuthority,
+		private readonly logs: Logs,
+	) {}
+
+	async onRequest(request: IncomingRequest): Promise<AnswerBody> {
+		const {frame} = request;
+		const allowance = new RetryAllowance(frame.retryShare);
+		const identity = this.readIdentity(frame.identity);
+		if (identity === false) {
+			return toAnswer(refusal(Verdict.didNotRun, RefusalReason.identityInvalid), allowance);
+		}
+
+		const call: Call = {
+			service: frame.service, kind: frame.kind, rootKind: frame.rootKind, rootIdentifier: frame.rootIdentifier,
+			priority: frame.priority, deadlineAt: performance.now() + frame.remainingMilliseconds - request.ageMilliseconds,
+			depth: frame.depth, message: {
+				method: frame.method, path: frame.path, headers: frame.headers, body: frame.body,
+			}, allowance, identity, signal: request.signal,
+		};
+		return toAnswer(await this.executor.execute(call), allowance);
+	}
+
+	onControl(frame: Frame, peer: PeerConnection): void {
+		this.distributor.receive(frame, peer);
+	}
+
+	onReady(peer: PeerConnection): void {
+		if (peer.remote !== undefined && !peer.remoteLeaving) {
+			this.fleet.noteJoined(peer.remote.instance);
+		}
+	}
+
+	onLeaving(peer: PeerConnection): void {
+		if (peer.remote !== undefined) {
+			this.fleet.noteLeaving(peer.remote.instance);
+			this.logs.info('peer is leaving', {peer: peer.remote.instance});
+		}
+	}
+
+	private readIdentity(token: string | undefined): Call['identity'] | false {
+		if (token === undefined) {
+			return undefined;
+		}
+
+		const check = this.authority.verify(token);
+		return check.valid ? {token, claims: check.identity} : false;
+	}
+}
+
+function toAnswer(result: CallResult, allowance: RetryAllowance): AnswerBody {
+	return {
+		verdict: result.verdict, reason: result.reason, status: result.status, headers: result.headers, body: result.body,
+		retriesReturned: allowance.remaining, level: result.level, identity: result.nextIdentity,
+		retryAfterMilliseconds: result.retryAfterMilliseconds,
+	};
+}
--- /dev/null
+++ b/packages/node/src/lib/target-client.ts
@@ -0,0 +1,118 @@
+/**
+ * Passes calls to the target beside this node over HTTP and reads its whole answer.
+ */
+import {Buffer} from 'node:buffer';
+import {Agent, type IncomingMessage} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import {frameLimits} from '@hemlockthread/wire';
+import {
+	RefusalReason, Verdict, isVerdict, type VerdictName,
+} from '@hemlockthread/verdict';
+import wreck from '@hapi/wreck';
+import {
+	Header, refusal, type Call, type CallResult,
+} from './call.js';
+import type {CallInProgress} from './call-registry.js';
+
+const passedAnswerHeaders = ['content-type', 'content-encoding', 'etag', 'location', 'cache-control'] as const;
+
+/** @public */
+export type TargetAnswer = CallResult & {
+	/** What the target itself declared about its refusal. */
+	declared?: VerdictName;
+	leaving: boolean;
+};
+
+/**
+ * HTTP client of one target, with connections kept alive.
+ *
+ * @public
+ */
+export class TargetClient {
+	private readonly agent: Agent;
+	private readonly client: typeof wreck;
+
+	constructor(private readonly baseUrl: string, maximumSockets: number) {
+		this.agent = new Agent({keepAlive: true, maxSockets: maximumSockets, noDelay: true});
+		this.client = wreck.defaults({agent: this.agent});
+	}
+
+	/** Sends a call. A failure before the connection stood is `did-not-run`, every later one `may-have-run`. */
+	async send(call: Call, inProgress: CallInProgress): Promise<TargetAnswer> {
+		const remaining = Math.max(1, Math.ceil(call.deadlineAt - performance.now()));
+		const {message} = call;
+		const request = this.client.request(message.method, `${this.baseUrl}/${call.kind}${message.path}`, {
+			payload: message.body.byteLength === 0 ? undefined : Buffer.from(message.body.buffer, message.body.byteOffset, message.body.byteLength),
+			headers: {
+				...message.headers,
+				[Header.context]: inProgress.reference,
+				[Header.traceParent]: `00-${inProgress.reference}-${inProgress.reference.slice(0, 16)}-01`,
+				[Header.remaining]: String(remaining),
+				...(call.identity === undefined ? {} : {[Header.operation]: call.identity.claims.operation}),
+			},
+			timeout: remaining,
+		});
+		const abort = () => {
+			request.req.destroy();
+		};
+
+		inProgress.signal.addEventListener('abort', abort, {once: true});
+		let response: IncomingMessage | undefined;
+		try {
+			response = await request;
+			const body = await wreck.read(response, {maxBytes: frameLimits.maximumBodyBytes, timeout: remaining});
+			return readAnswer(response, body);
+		} catch (error) {
+			return {...failure(error, call), leaving: false};
+		} finally {
+			inProgress.signal.removeEventListener('abort', abort);
+		}
+	}
+
+	close(): void {
+		this.agent.destroy();
+	}
+}
+
+function readAnswer(response: IncomingMessage, body: Uint8Array): TargetAnswer {
+	const headers: Record<string, string> = {};
+	for (const name of passedAnswerHeaders) {
+		const value = response.headers[name];
+		if (typeof value === 'string') {
+			headers[name] = value;
+		}
+	}
+
+	const declared = response.headers[Header.verdict];
+	return {
+		verdict: Verdict.ran,
+		status: response.statusCode ?? 0,
+		headers,
+		body,
+		level: 0,
+		leaving: response.headers[Header.leaving] === 'true',
+		...(isVerdict(declared) ? {declared} : {}),
+	};
+}
+
+function failure(error: unknown, call: Call): CallResult {
+	if (isConnectFailure(error)) {
+		return refusal(Verdict.didNotRun, RefusalReason.targetFailed);
+	}
+
+	if ((error as {output?: {statusCode?: number}}).output?.statusCode === 413) {
+		return refusal(Verdict.mayHaveRun, RefusalReason.answerTooLarge);
+	}
+
+	if (performance.now() >= call.deadlineAt) {
+		return refusal(Verdict.mayHaveRun, RefusalReason.deadlineExceeded);
+	}
+
+	return refusal(Verdict.mayHaveRun, call.signal.aborted ? RefusalReason.cancelled : RefusalReason.targetFailed);
+}
+
+/** No connection stood, so no byte of the request left. */
+function isConnectFailure(error: unknown): boolean {
+	const text = String((error as Error).message) + String((error as {code?: string}).code);
+	return text.includes('ECONNREFUSED') || text.includes('EHOSTUNREACH') || text.includes('ENETUNREACH');
+}
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * The read-only command line for operators.
+ */
+export const packageName = '@hemlockthread/operator';
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * The choice of a target instance for each call.
+ */
+export {
+	TargetSelector, routingOptions, type Candidate, type ChoiceRequest, type CallOutcome,
+} from './lib/target-selector.js';
--- /dev/null
+++ b/packages/stand-ins/src/lib/platform.ts
@@ -0,0 +1,125 @@
+/**
+ * A stand-in for the configuration service: values by key with growing revisions, read and watched over HTTP.
+ */
+import {once} from 'node:events';
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+
+type Published = {revision: number; value: string};
+type Watcher = {after: number; answer: (published: Published | undefined) => void};
+
+/**
+ * Serves `GET /configuration/{key}?after={revision}&waitMilliseconds={wait}` and counts reads.
+ *
+ * @public
+ */
+export class PlatformStandIn {
+	reads = 0;
+	private revision = 0;
+	private available = true;
+	private readonly values = new Map<string, Published>();
+	private readonly watchers = new Map<string, Set<Watcher>>();
+	private readonly server: Server;
+
+	constructor() {
+		this.server = createServer((request, response) => {
+			this.handle(request, response);
+		});
+	}
+
+	async listen(host: string, port: number): Promise<void> {
+		this.server.listen(port, host);
+		await once(this.server, 'listening');
+	}
+
+	/** Publishes a value and returns its revision. */
+	publish(key: string, value: string): number {
+		this.revision += 1;
+		const published = {revision: this.revision, value};
+		this.values.set(key, published);
+		for (const watcher of this.watchers.get(key) ?? []) {
+			watcher.answer(published);
+		}
+
+		return this.revision;
+	}
+
+	/** Answers with an older record, as a stale replica would. */
+	revert(key: string, published: Published): void {
+		this.values.set(key, published);
+	}
+
+	withdraw(key: string): void {
+		this.revision += 1;
+		this.values.delete(key);
+	}
+
+	setAvailable(available: boolean): void {
+		this.available = available;
+		if (!available) {
+			this.server.closeAllConnections();
+		}
+	}
+
+	async close(): Promise<void> {
+		this.server.closeAllConnections();
+		this.server.close();
+		await once(this.server, 'close');
+	}
+
+	private handle(request: IncomingMessage, response: ServerResponse): void {
+		this.reads += 1;
+		if (!this.available) {
+			response.destroy();
+			return;
+		}
+
+		const url = new URL(request.url ?? '/', 'http://platform');
+		const key = url.pathname.replace('/configuration/', '');
+		const after = Number(url.searchParams.get('after') ?? 0);
+		const wait = Number(url.searchParams.get('waitMilliseconds') ?? 0);
+		const held = this.values.get(key);
+		if (held !== undefined && (held.revision > after || wait === 0)) {
+			answer(response, key, held);
+			return;
+		}
+
+		if (wait === 0) {
+			response.writeHead(404).end();
+			return;
+		}
+
+		this.wait(key, after, wait, response);
+	}
+
+	private wait(key: string, after: number, wait: number, response: ServerResponse): void {
+		const waiting = this.watchers.get(key) ?? new Set<Watcher>();
+		this.watchers.set(key, waiting);
+		const watcher: Watcher = {
+			after,
+			answer(published) {
+				clearTimeout(timer);
+				waiting.delete(watcher);
+				answer(response, key, published);
+			},
+		};
+		const timer = setTimeout(() => {
+			watcher.answer(undefined);
+		}, wait);
+		response.once('close', () => {
+			clearTimeout(timer);
+			waiting.delete(watcher);
+		});
+		waiting.add(watcher);
+	}
+}
+
+function answer(response: ServerResponse, key: string, published: Published | undefined): void {
+	if (published === undefined) {
+		response.writeHead(204).end();
+		return;
+	}
+
+	response.writeHead(200, {'content-type': 'application/json'}).end(JSON.stringify({key, ...published}));
+}
--- /dev/null
+++ b/packages/stand-ins/src/lib/target.ts
@@ -0,0 +1,169 @@
+/**
+ * A stand-in for a target: works for a set time with a set number of slots, makes downstream calls through its node and
+ * records every run, so that tests can compare what ran with what callers were told.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	Agent, createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+
+/** A downstream call of a kind. @public */
+export type TargetLegPlan = {service: string; kind: string};
+
+/** How the target works on a kind. @public */
+export type TargetKindPlan = {
+	workMilliseconds: number;
+	legs: TargetLegPlan[];
+};
+
+/** @public */
+export type TargetPlan = {
+	service: string;
+	/** Base URL of the own node's listener for its target. */
+	nodeUrl: string;
+	/** Requests worked on at once; others wait in the target. */
+	slots: number;
+	kinds: Record<string, TargetKindPlan>;
+	/** False for a target that does not copy context headers to its downstream calls. */
+	passContext?: boolean;
+	/** Times that the target itself tries a downstream call; 1 by default. */
+	legAttempts?: number;
+};
+
+/** One run of a request, as the oracle sees it. @public */
+export type TargetRun = {kind: string; operation?: string; body: string; finished: boolean};
+
+/**
+ * An HTTP target.
+ *
+ * @public
+ */
+export class TargetStandIn {
+	readonly runs: TargetRun[] = [];
+	/** Factor on all work times. */
+	slowness = 1;
+	private working = 0;
+	private readonly waiting: Array<() => void> = [];
+	private readonly agent = new Agent({keepAlive: true, noDelay: true});
+	private readonly server: Server;
+
+	constructor(readonly plan: TargetPlan) {
+		this.server = createServer((request, response) => {
+			void this.handle(request, response);
+		});
+		this.server.keepAliveTimeout = 60_000;
+	}
+
+	async listen(host: string, port: number): Promise<void> {
+		this.server.listen(port, host);
+		await once(this.server, 'listening');
+	}
+
+	async close(): Promise<void> {
+		this.server.closeAllConnections();
+		this.server.close();
+		this.agent.destroy();
+		await once(this.server, 'close');
+	}
+
+	private async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+		const body = await readBody(request);
+		const kind = (request.url ?? '/').split('/')[1]?.split('?')[0] ?? '';
+		const plan = this.plan.kinds[kind];
+		if (plan === undefined) {
+			response.writeHead(404).end();
+			return;
+		}
+
+		await this.takeSlot();
+		const operation = request.headers['hemlockthread-operation'] as string | undefined;
+		const run: TargetRun = {
+			kind, operation, body, finished: false,
+		};
+		try {
+			if (response.destroyed) {
+				return;
+			}
+
+			this.runs.push(run);
+			await delay(plan.workMilliseconds * this.slowness);
+			const legs: unknown[] = [];
+			for (const leg of plan.legs) {
+				legs.push(await this.callDownstream(leg, request, body));
+			}
+
+			run.finished = true;
+			const failed = legs.some(leg => (leg as {status: number}).status !== 200);
+			response.writeHead(failed ? 502 : 200, {'content-type': 'application/json'})
+				.end(JSON.stringify({
+					service: this.plan.service, kind, body, legs,
+				}));
+		} finally {
+			this.freeSlot();
+		}
+	}
+
+	private async callDownstream(leg: TargetLegPlan, parent: IncomingMessage, body: string): Promise<{status: number; verdict?: string}> {
+		const attempts = this.plan.legAttempts ?? 1;
+		for (let attempt = 1; ; attempt += 1) {
+			const result = await this.callOnce(leg, parent, body);
+			if (result.status === 200 || attempt >= attempts) {
+				return result;
+			}
+		}
+	}
+
+	private async callOnce(leg: TargetLegPlan, parent: IncomingMessage, body: string): Promise<{status: number; verdict?: string}> {
+		const context = parent.headers['hemlockthread-context'];
+		const headers = this.plan.passContext === false || context === undefined ? {} : {'hemlockthread-context': context};
+		return new Promise(resolve => {
+			const call = httpRequest(`${this.plan.nodeUrl}/calls/${leg.service}/${leg.kind}`, {
+				method: 'POST', agent: this.agent, headers: {...headers, 'content-type': 'text/plain', 'content-length': Buffer.byteLength(body)},
+			}, answer => {
+				void (async () => {
+					await readBody(answer);
+					resolve({status: answer.statusCode ?? 0, verdict: answer.headers['hemlockthread-verdict'] as string | undefined});
+				})();
+			});
+			call.once('error', () => {
+				resolve({status: 0});
+			});
+			call.end(body);
+		});
+	}
+
+	private async takeSlot(): Promise<void> {
+		if (this.working < this.plan.slots) {
+			this.working += 1;
+			return;
+		}
+
+		await new Promise<void>(resolve => {
+			this.waiting.push(resolve);
+		});
+	}
+
+	private freeSlot(): void {
+		const next = this.waiting.shift();
+		if (next === undefined) {
+			this.working -= 1;
+		} else {
+			next();
+		}
+	}
+}
+
+async function readBody(message: IncomingMessage): Promise<string> {
+	const chunks: Uint8Array[] = [];
+	try {
+		for await (const chunk of message) {
+			chunks.push(chunk as Uint8Array);
+		}
+	} catch {
+		// The sender went away; what was read is not used.
+	}
+
+	return Buffer.concat(chunks).toString();
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,6 @@
+/**
+ * Structured logs, metrics and the registry behind the state dump.
+ */
+export {Logs, type LogFields, type LogLevelName} from './lib/logs.js';
+export {Metrics, type MetricsOptions, type MetricTags} from './lib/metrics.js';
+export {StateDumpRegistry, type StateDumpSource} from './lib/state-dump.js';
--- /dev/null
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -0,0 +1,215 @@
+/**
+ * The test driver: a platform, targets and one node process beside each target, on 127.0.0.0/8 addresses.
+ */
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {createServer} from 'node:net';
+import {tmpdir} from 'node:os';
+import path from 'node:path';
+import process from 'node:process';
+import {setTimeout as delay} from 'node:timers/promises';
+import {fileURLToPath} from 'node:url';
+import {PlatformStandIn, TargetStandIn, type TargetKindPlan} from '@hemlockthread/stand-ins';
+import wreck from '@hapi/wreck';
+
+const nodeBinary = fileURLToPath(new URL('../../../node/dist/bin/hemlockthread-node.js', import.meta.url));
+const readyTimeoutMilliseconds = 20_000;
+const identityKeys = [{id: 'test', secret: 'a secret for tests with 32 characters or more'}];
+
+/** @public */
+export type FleetPlan = {
+	policy: unknown;
+	instances: Array<{
+		name: string;
+		service: string;
+		failureDomain: string;
+		slots?: number;
+		kinds: Record<string, TargetKindPlan>;
+		passContext?: boolean;
+		legAttempts?: number;
+		/** Settings that differ from the driver's. */
+		settings?: Record<string, unknown>;
+	}>;
+};
+
+/** @public */
+export type DrivenInstance = {
+	name: string;
+	target: TargetStandIn;
+	callerUrl: string;
+	operatorUrl: string;
+	peerAddress: string;
+	settingsPath: string;
+	process: ChildProcess;
+	fleetEntry: Record<string, unknown>;
+};
+
+/** @public */
+export type CallerAnswer = {
+	status: number;
+	verdict?: string;
+	reason?: string;
+	identity?: string;
+	body: string;
+};
+
+/**
+ * Drives a fleet from start to end.
+ *
+ * @public
+ */
+export class FleetDriver {
+	readonly platform = new PlatformStandIn();
+	readonly instances = new Map<string, DrivenInstance>();
+	private readonly directory = mkdtempSync(path.join(tmpdir(), 'hemlockthread-'));
+	private platformUrl = '';
+
+	async start(plan: FleetPlan): Promise<void> {
+		const [platformPort] = await freePorts('127.0.0.1', 1);
+		this.platformUrl = `http://127.0.0.1:${platformPort}`;
+		await this.platform.listen('127.0.0.1', platformPort!);
+		this.platform.publish('policy', JSON.stringify(plan.policy));
+		for (const [index, instance] of plan.instances.entries()) {
+			await this.prepare(instance, `127.0.0.${index + 2}`);
+		}
+
+		this.publishFleet();
+		for (const instance of this.instances.values()) {
+			instance.process = this.spawnNode(instance.settingsPath);
+		}
+
+		await Promise.all([...this.instances.values()].map(async instance => this.waitUntilReady(instance)));
+	}
+
+	instance(name: string): DrivenInstance {
+		const instance = this.instances.get(name);
+		if (instance === undefined) {
+			throw new RangeError(`no instance is named ${name}`);
+		}
+
+		return instance;
+	}
+
+	/** Publishes the fleet list, with the named instances as leaving. */
+	publishFleet(leaving: readonly string[] = []): number {
+		const instances = [...this.instances.values()].map(instance =>
+			({...instance.fleetEntry, state: leaving.includes(instance.name) ? 'leaving' : 'live'}));
+		return this.platform.publish('fleet', JSON.stringify({schemaVersion: 1, instances}));
+	}
+
+	/** Starts the node of an instance again after its process ended. */
+	async restart(name: string): Promise<void> {
+		const instance = this.instance(name);
+		instance.process = this.spawnNode(instance.settingsPath);
+		await this.waitUntilReady(instance);
+	}
+
+	/** Calls through the node of an instance, as a caller would. */
+	async call(through: string, call: string, options: {body?: string; identity?: string; remainingMilliseconds?: number} = {}): Promise<CallerAnswer> {
+		const headers: Record<string, string> = {'content-type': 'text/plain'};
+		if (options.identity !== undefined) {
+			headers['idempotency-key'] = options.identity;
+		}
+
+		if (options.remainingMilliseconds !== undefined) {
+			headers['hemlockthread-remaining-milliseconds'] = String(options.remainingMilliseconds);
+		}
+
+		const response = await wreck.request('POST', `${this.instance(through).callerUrl}/calls/${call}`, {payload: options.body ?? '', headers});
+		const body = await wreck.read(response);
+		return {
+			status: response.statusCode ?? 0,
+			verdict: response.headers['hemlockthread-verdict'] as string | undefined,
+			reason: response.headers['hemlockthread-reason'] as string | undefined,
+			identity: response.headers['idempotency-key'] as string | undefined,
+			body: body.toString(),
+		};
+	}
+
+	/** Gets an identity and makes the call with it. */
+	async callOnce(through: string, call: string, body = ''): Promise<CallerAnswer> {
+		const offer = await this.call(through, call, {body});
+		return offer.identity === undefined ? offer : this.call(through, call, {body, identity: offer.identity});
+	}
+
+	async state(name: string): Promise<Record<string, Record<string, unknown>>> {
+		const {payload} = await wreck.get<Record<string, Record<string, unknown>>>(`${this.instance(name).operatorUrl}/state`, {json: true});
+		return payload;
+	}
+
+	async stop(): Promise<void> {
+		for (const instance of this.instances.values()) {
+			instance.process.kill('SIGKILL');
+			await instance.target.close();
+		}
+
+		await this.platform.close();
+		rmSync(this.directory, {recursive: true, force: true});
+	}
+
+	private async prepare(plan: FleetPlan['instances'][number], host: string): Promise<void> {
+		const [target, callers, nodeForTarget, peers, operators] = await freePorts(host, 5) as [number, number, number, number, number];
+		const slots = plan.slots ?? 10;
+		const settings = {
+			instance: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test',
+			listen: {
+				callers: {host, port: callers}, target: {host, port: nodeForTarget}, peers: {host, port: peers}, operators: {host, port: operators},
+			},
+			targetUrl: `http://${host}:${target}`, targetSlots: slots, platformUrl: this.platformUrl, identityKeys,
+			...plan.settings,
+		};
+		const settingsPath = path.join(this.directory, `${plan.name}.json`);
+		writeFileSync(settingsPath, JSON.stringify(settings, undefined, '\t'));
+		const standIn = new TargetStandIn({
+			service: plan.service, nodeUrl: `http://${host}:${nodeForTarget}`, slots, kinds: plan.kinds,
+			passContext: plan.passContext, legAttempts: plan.legAttempts,
+		});
+		await standIn.listen(host, target);
+		this.instances.set(plan.name, {
+			name: plan.name, target: standIn, settingsPath,
+			callerUrl: `http://${host}:${callers}`, operatorUrl: `http://${host}:${operators}`, peerAddress: `${host}:${peers}`,
+			process: undefined as unknown as ChildProcess,
+			fleetEntry: {
+				name: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test', slots,
+				peerAddress: `${host}:${peers}`, callerAddress: `${host}:${callers}`, operatorAddress: `${host}:${operators}`,
+			},
+		});
+	}
+
+	private spawnNode(settingsPath: string): ChildProcess {
+		const verbose = process.env.HEMLOCKTHREAD_TEST_LOGS === '1';
+		return spawn(process.execPath, [nodeBinary, settingsPath], {stdio: ['ignore', 'ignore', verbose ? 'inherit' : 'ignore']});
+	}
+
+	private async waitUntilReady(instance: DrivenInstance): Promise<void> {
+		const endAt = Date.now() + readyTimeoutMilliseconds;
+		while (Date.now() < endAt) {
+			try {
+				const response = await wreck.request('GET', `${instance.operatorUrl}/ready`, {});
+				await wreck.read(response);
+				if (response.statusCode === 200) {
+					return;
+				}
+			} catch {
+				// Not listening yet.
+			}
+
+			await delay(50);
+		}
+
+		throw new Error(`node of ${instance.name} is not ready after ${readyTimeoutMilliseconds} ms`);
+	}
+}
+
+/** Finds free TCP ports on an address; all are held until the last is found, so that none is given twice. */
+async function freePorts(host: string, count: number): Promise<number[]> {
+	const servers = Array.from({length: count}, () => createServer().listen(0, host));
+	await Promise.all(servers.map(async server => once(server, 'listening')));
+	const ports = servers.map(server => (server.address() as {port: number}).port);
+	await Promise.all(servers.map(async server => {
+		server.close();
+		await once(server, 'close');
+	}));
+	return ports;
+}
--- /dev/null
+++ b/packages/test-driver/src/lib/plans.ts
@@ -0,0 +1,47 @@
+/**
+ * Call graphs and policies that tests share.
+ */
+import type {FleetPlan} from './fleet-driver.js';
+
+/** The policy of the cellar workload: withdrawals and intakes before browsing. @public */
+export const cellarNetPolicy = {
+	schemaVersion: 1,
+	kinds: [
+		{
+			name: 'withdrawal', worth: 100, protected: true, irreversible: true, retries: 3, lifetimeMilliseconds: 3000,
+		},
+		{
+			name: 'record-release', worth: 90, protected: true, irreversible: true, retries: 3, lifetimeMilliseconds: 3000,
+		},
+		{
+			name: 'stock-view', worth: 5, protected: false, irreversible: false, retries: 2, lifetimeMilliseconds: 2000,
+		},
+		{
+			name: 'history', worth: 4, protected: false, irreversible: false, retries: 2, lifetimeMilliseconds: 2000,
+		},
+	],
+	identityLifetimeMilliseconds: 60_000,
+	coldStartRampMilliseconds: 0,
+} as const;
+
+/** racks → releases → provenance, two instances each, in two failure domains. @public */
+export function cellarNetPlan(): FleetPlan {
+	const services = {
+		racks: {'stock-view': {workMilliseconds: 2, legs: [{service: 'releases', kind: 'history'}]}},
+		releases: {
+			history: {workMilliseconds: 2, legs: [{service: 'provenance', kind: 'history'}]},
+			withdrawal: {workMilliseconds: 2, legs: [{service: 'provenance', kind: 'record-release'}]},
+		},
+		provenance: {
+			history: {workMilliseconds: 2, legs: []},
+			'record-release': {workMilliseconds: 2, legs: []},
+		},
+	};
+	return {
+		policy: cellarNetPolicy,
+		instances: Object.entries(services).flatMap(([service, kinds]) => ['akl-a', 'akl-b'].map((failureDomain, index) =>
+			({
+				name: `${service}-${index + 1}`, service, failureDomain, kinds,
+			}))),
+	};
+}
--- /dev/null
+++ b/packages/verdict/src/lib/errors.ts
@@ -0,0 +1,57 @@
+/**
+ * Typed errors shared by all packages.
+ */
+import ModernError from 'modern-errors';
+import type {RefusalReasonName} from './refusal-reason.js';
+import type {VerdictName} from './verdict.js';
+
+/**
+ * Base of every error that the project throws.
+ *
+ * @public
+ */
+export const BaseError = ModernError.subclass('BaseError');
+
+/** @public */
+export type CallErrorOptions = {
+	props: {
+		/** Whether the operation may have run. */
+		verdict: VerdictName;
+		/** Why the call was refused. */
+		reason: RefusalReasonName;
+		/** Time after which a retry is sensible, in milliseconds. */
+		retryAfterMilliseconds?: number;
+		/** Identity that the caller must use for its next attempt. */
+		nextIdentity?: string;
+	};
+};
+
+/**
+ * A call that was refused or failed, with its verdict.
+ *
+ * @public
+ */
+export const CallError = BaseError.subclass('CallError', {
+	props: {verdict: 'may-have-run' as VerdictName, reason: 'target-failed' as RefusalReasonName},
+});
+
+/**
+ * A settings file that can't be used.
+ *
+ * @public
+ */
+export const SettingsError = BaseError.subclass('SettingsError');
+
+/**
+ * A published record that can't be accepted.
+ *
+ * @public
+ */
+export const RecordError = BaseError.subclass('RecordError');
+
+/**
+ * A peer or the platform broke its protocol.
+ *
+ * @public
+ */
+export const ProtocolError = BaseError.subclass('ProtocolError');
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,15 @@
+/**
+ * Frames and connections between nodes: WebSocket binary messages that hold one msgpack map each.
+ */
+export {
+	FrameType, protocolVersions, frameLimits, type Frame, type HelloFrame, type RequestFrame, type CancelFrame,
+	type AnswerFrame, type HeartbeatFrame, type AnnounceFrame, type FetchFrame, type RecordFrame, type FrameHeaders,
+	type Revisions,
+} from './lib/frames.js';
+export {encodeFrame, decodeFrame} from './lib/codec.js';
+export {LinkClock} from './lib/link-clock.js';
+export {
+	PeerConnection, connectionOptions, type PeerHandlers, type RequestBody, type AnswerBody, type LocalPeer,
+	type IncomingRequest,
+} from './lib/peer-connection.js';
+export {PeerServer, dialPeer} from './lib/peer-server.js';
--- /dev/null
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -0,0 +1,396 @@
+/**
+ * One connection to a peer node. Each connection has one task (`run`) that exchanges hello frames and then watches that
+ * the peer is alive until the connection ends.
+ */
+import {performance} from 'node:perf_hooks';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	CallError, RefusalReason, Verdict, type RefusalReasonName, type VerdictName,
+} from '@hemlockthread/verdict';
+import type {Metrics} from '@hemlockthread/telemetry';
+import type {RawData, WebSocket} from 'ws';
+import {decodeFrame, encodeFrame} from './codec.js';
+import {
+	protocolVersions, type AnswerFrame, type Frame, type HelloFrame, type RequestFrame, type Revisions,
+} from './frames.js';
+import {LinkClock} from './link-clock.js';
+
+/** @public */
+export const connectionOptions = {
+	/** Time between heartbeats on control connections. */
+	heartbeatMilliseconds: 1000,
+	/** A connection that is expected to answer and stays silent this long is closed. */
+	silenceLimitMilliseconds: 3000,
+	/** Longest wait for the peer's hello. */
+	helloTimeoutMilliseconds: 2000,
+	/** Bytes that may wait in the socket before further requests are refused. */
+	maximumBufferedBytes: 8 * 1024 * 1024,
+	/** Requests in progress on one connection, in each direction. */
+	maximumRequests: 4096,
+} as const;
+
+/** What the local node tells its peers about itself. @public */
+export type LocalPeer = {
+	instance: string;
+	incarnation: string;
+	service: string;
+	failureDomain: string;
+	isLeaving(): boolean;
+	revisions(): Revisions;
+};
+
+/** @public */
+export type RequestBody = Omit<RequestFrame, 'type' | 'identifier' | 'sentAt' | 'heard'>;
+
+/** @public */
+export type AnswerBody = Omit<AnswerFrame, 'type' | 'identifier' | 'sentAt' | 'heard' | 'leaving'>;
+
+/** A request as received, with the longest time that it can have been under way. @public */
+export type IncomingRequest = {
+	frame: RequestFrame;
+	ageMilliseconds: number;
+	/** Aborted when the peer cancels the call or the connection ends. */
+	signal: AbortSignal;
+	peer: PeerConnection;
+};
+
+/** @public */
+export type PeerHandlers = {
+	onRequest(request: IncomingRequest): Promise<AnswerBody>;
+	/** Receives announce, fetch and record frames, and the revisions of hello and heartbeat frames. */
+	onControl(frame: Frame, peer: PeerConnection): void;
+	onReady?(peer: PeerConnection): void;
+	onLeaving?(peer: PeerConnection): void;
+	onClosed?(peer: PeerConnection): void;
+};
+
+type PendingCall = {
+	resolve(answer: AnswerFrame): void;
+	reject(error: Error): void;
+};
+
+type FrameHandlers = {[Type in Frame['type']]: (frame: Extract<Frame, {type: Type}>, receivedAt: number) => void};
+
+/**
+ * A connection between two nodes that carries calls in both directions and control frames.
+ *
+ * @public
+ */
+export class PeerConnection {
+	/** The peer's hello; undefined until it arrived. */
+	remote: HelloFrame | undefined;
+	/** True once the peer said that it leaves the fleet. */
+	remoteLeaving = false;
+	/** True where heartbeats are sent all the time and not only while calls wait. */
+	control = false;
+	/** Monotonic time of the last call on this connection. */
+	lastUsedAt = performance.now();
+
+	private nextIdentifier = 0;
+	private lastReceivedAt = performance.now();
+	private readonly pending = new Map<number, PendingCall>();
+	private readonly incoming = new Map<number, AbortController>();
+	private readonly clock = new LinkClock();
+	private readonly closing = new AbortController();
+	private readonly helloReceived: Promise<HelloFrame>;
+	private acceptHello!: (hello: HelloFrame) => void;
+
+	private readonly frameHandlers: FrameHandlers = {
+		hello: frame => {
+			this.receiveHello(frame);
+		},
+		request: (frame, receivedAt) => {
+			void this.receiveRequest(frame, receivedAt);
+		},
+		cancel: frame => {
+			this.incoming.get(frame.identifier)?.abort();
+		},
+		answer: (frame, receivedAt) => {
+			this.clock.age(frame.sentAt, frame.heard, receivedAt);
+			this.receiveAnswer(frame);
+		},
+		heartbeat: (frame, receivedAt) => {
+			this.clock.age(frame.sentAt, frame.heard, receivedAt);
+			this.noteLeaving(frame.leaving);
+			if (frame.echo) {
+				this.sendHeartbeat(false);
+			}
+
+			this.handlers.onControl(frame, this);
+		},
+		announce: frame => {
+			this.handlers.onControl(frame, this);
+		},
+		fetch: frame => {
+			this.handlers.onControl(frame, this);
+		},
+		record: frame => {
+			this.handlers.onControl(frame, this);
+		},
+	};
+
+	constructor(
+		private readonly socket: WebSocket,
+		private readonly local: LocalPeer,
+		private readonly handlers: PeerHandlers,
+		private readonly metrics: Metrics,
+		private readonly dialled: boolean,
+	) {
+		this.helloReceived = new Promise(resolve => {
+			this.acceptHello = resolve;
+		});
+		socket.binaryType = 'nodebuffer';
+		socket.on('message', (data: RawData) => {
+			this.receive(data as Uint8Array);
+		});
+		socket.on('close', () => {
+			this.end();
+		});
+		socket.on('error', () => {
+			socket.terminate();
+		});
+	}
+
+	/** Aborted when the connection ends. */
+	get closed(): AbortSignal {
+		return this.closing.signal;
+	}
+
+	get pendingCalls(): number {
+		return this.pending.size;
+	}
+
+	get usable(): boolean {
+		return this.socket.readyState === 1 && this.remote !== undefined && !this.closing.signal.aborted;
+	}
+
+	/** Exchanges hello frames, then checks until the end that the peer is alive. */
+	async run(): Promise<void> {
+		try {
+			// The dialling side answers the other side's hello, so that its own hello bounds the clock difference.
+			if (this.dialled) {
+				await this.ready();
+				this.sendHello();
+			} else {
+				this.sendHello();
+				await this.ready();
+			}
+
+			this.handlers.onReady?.(this);
+			await this.watchPeer();
+		} catch {
+			// The connection ended or the peer stayed silent; both are handled by closing.
+		} finally {
+			this.close();
+		}
+	}
+
+	/** Waits for the peer's hello. */
+	async ready(): Promise<HelloFrame> {
+		return Promise.race([
+			this.helloReceived,
+			this.failAfter(connectionOptions.helloTimeoutMilliseconds),
+		]);
+	}
+
+	/**
+	 * Sends a call and waits for its answer.
+	 *
+	 * @throws CallError with `did-not-run` when nothing was sent, else with `may-have-run`.
+	 */
+	async call(body: RequestBody, signal: AbortSignal): Promise<AnswerFrame> {
+		if (!this.usable || this.pending.size >= connectionOptions.maximumRequests
+			|| this.socket.bufferedAmount > connectionOptions.maximumBufferedBytes) {
+			throw callError('no usable connection to the peer', Verdict.didNotRun, RefusalReason.connectionLost);
+		}
+
+		if (signal.aborted) {
+			throw callError('call was cancelled before it was sent', Verdict.didNotRun, RefusalReason.cancelled);
+		}
+
+		const identifier = this.nextIdentifier++;
+		this.lastUsedAt = performance.now();
+		return new Promise<AnswerFrame>((resolve, reject) => {
+			const onAbort = () => {
+				this.pending.delete(identifier);
+				this.send({type: 'cancel', identifier});
+				reject(callError('call was abandoned while the peer worked on it', Verdict.mayHaveRun, RefusalReason.cancelled));
+			};
+
+			signal.addEventListener('abort', onAbort, {once: true});
+			this.pending.set(identifier, {
+				resolve(answer) {
+					signal.removeEventListener('abort', onAbort);
+					resolve(answer);
+				},
+				reject(error) {
+					signal.removeEventListener('abort', onAbort);
+					reject(error);
+				},
+			});
+			this.send({
+				type: 'request', identifier, ...body, sentAt: performance.now(), heard: this.clock.heard,
+			});
+		});
+	}
+
+	send(frame: Frame): void {
+		if (this.socket.readyState === 1) {
+			this.socket.send(encodeFrame(frame));
+		}
+	}
+
+	/** Tells the peer the current revisions and whether this node leaves. */
+	sendHeartbeat(echo: boolean): void {
+		this.send({
+			type: 'heartbeat', revisions: this.local.revisions(), leaving: this.local.isLeaving(), echo, sentAt: performance.now(), heard: this.clock.heard,
+		});
+	}
+
+	/** Closes the connection; calls that still wait become `may-have-run`. */
+	close(): void {
+		this.socket.close();
+		// A peer that is cut off never completes the closing handshake.
+		this.socket.terminate();
+		this.end();
+	}
+
+	private sendHello(): void {
+		this.send({
+			type: 'hello',
+			protocolVersions: [...protocolVersions],
+			instance: this.local.instance,
+			incarnation: this.local.incarnation,
+			service: this.local.service,
+			failureDomain: this.local.failureDomain,
+			leaving: this.local.isLeaving(),
+			revisions: this.local.revisions(),
+			sentAt: performance.now(),
+			heard: this.clock.heard,
+		});
+	}
+
+	private receive(data: Uint8Array): void {
+		const receivedAt = performance.now();
+		this.lastReceivedAt = receivedAt;
+		try {
+			const frame = decodeFrame(data);
+			if (frame === undefined) {
+				this.metrics.count('peer.frame.unknown');
+				return;
+			}
+
+			const handler = this.frameHandlers[frame.type] as (frame: Frame, receivedAt: number) => void;
+			handler(frame, receivedAt);
+		} catch {
+			this.metrics.count('peer.frame.malformed');
+			this.close();
+		}
+	}
+
+	private receiveHello(frame: HelloFrame): void {
+		if (!frame.protocolVersions.some(version => protocolVersions.includes(version))) {
+			this.metrics.count('peer.version.unsupported');
+			this.close();
+			return;
+		}
+
+		this.remote = frame;
+		this.clock.age(frame.sentAt, frame.heard, performance.now());
+		this.noteLeaving(frame.leaving);
+		this.acceptHello(frame);
+		this.handlers.onControl(frame, this);
+	}
+
+	private async receiveRequest(frame: RequestFrame, receivedAt: number): Promise<void> {
+		const ageMilliseconds = this.clock.age(frame.sentAt, frame.heard, receivedAt);
+		if (this.incoming.has(frame.identifier) || this.incoming.size >= connectionOptions.maximumRequests) {
+			this.metrics.count('peer.request.dropped');
+			return;
+		}
+
+		const controller = new AbortController();
+		this.incoming.set(frame.identifier, controller);
+		try {
+			const answer = await this.handlers.onRequest({
+				frame, ageMilliseconds, signal: controller.signal, peer: this,
+			});
+			this.send({
+				type: 'answer', identifier: frame.identifier, ...answer, leaving: this.local.isLeaving(), sentAt: performance.now(), heard: this.clock.heard,
+			});
+		} finally {
+			this.incoming.delete(frame.identifier);
+		}
+	}
+
+	private receiveAnswer(frame: AnswerFrame): void {
+		this.noteLeaving(frame.leaving);
+		const call = this.pending.get(frame.identifier);
+		if (call === undefined) {
+			// Late after a cancellation, or repeated.
+			this.metrics.count('peer.answer.unmatched');
+			return;
+		}
+
+		this.pending.delete(frame.identifier);
+		call.resolve(frame);
+	}
+
+	private noteLeaving(leaving: boolean): void {
+		if (leaving && !this.remoteLeaving) {
+			this.remoteLeaving = true;
+			this.handlers.onLeaving?.(this);
+		}
+	}
+
+	private async watchPeer(): Promise<void> {
+		let checkedAt = performance.now();
+		while (!this.closing.signal.aborted) {
+			await delay(connectionOptions.heartbeatMilliseconds, undefined, {signal: this.closing.signal, ref: false});
+			const now = performance.now();
+			const pausedHere = now - checkedAt > 2 * connectionOptions.heartbeatMilliseconds;
+			checkedAt = now;
+			if (!this.control && this.pending.size === 0) {
+				continue;
+			}
+
+			const silence = now - this.lastReceivedAt;
+			// After a pause of this process the silence says nothing about the peer.
+			if (!pausedHere && silence > connectionOptions.silenceLimitMilliseconds) {
+				this.metrics.count('peer.silent');
+				return;
+			}
+
+			if (this.control || silence > connectionOptions.heartbeatMilliseconds) {
+				this.sendHeartbeat(!this.control);
+			}
+		}
+	}
+
+	private async failAfter(milliseconds: number): Promise<never> {
+		await delay(milliseconds, undefined, {signal: this.closing.signal, ref: false});
+		throw callError('peer sent no hello', Verdict.didNotRun, RefusalReason.connectionLost);
+	}
+
+	private end(): void {
+		if (this.closing.signal.aborted) {
+			return;
+		}
+
+		this.closing.abort();
+		for (const call of this.pending.values()) {
+			call.reject(callError('connection to the peer was lost', Verdict.mayHaveRun, RefusalReason.connectionLost));
+		}
+
+		this.pending.clear();
+		for (const controller of this.incoming.values()) {
+			controller.abort();
+		}
+
+		this.handlers.onClosed?.(this);
+	}
+}
+
+function callError(message: string, verdict: VerdictName, reason: RefusalReasonName): Error {
+	return new CallError(message, {props: {verdict, reason}});
+}
--- /dev/null
+++ b/packages/wire/src/lib/peer-server.ts
@@ -0,0 +1,100 @@
+/**
+ * Accepts and opens peer connections.
+ */
+import {once} from 'node:events';
+import {CallError, RefusalReason, Verdict} from '@hemlockthread/verdict';
+import type {Metrics} from '@hemlockthread/telemetry';
+import {WebSocket, WebSocketServer} from 'ws';
+import {frameLimits} from './frames.js';
+import {PeerConnection, type LocalPeer, type PeerHandlers} from './peer-connection.js';
+
+const connectTimeoutMilliseconds = 1000;
+const maximumIncomingConnections = 2048;
+
+/**
+ * Listens for peers. Frames are small and latency counts, so compression is off.
+ *
+ * @public
+ */
+export class PeerServer {
+	private server: WebSocketServer | undefined;
+	private readonly connections = new Set<PeerConnection>();
+
+	constructor(
+		private readonly local: LocalPeer,
+		private readonly handlers: PeerHandlers,
+		private readonly metrics: Metrics,
+	) {}
+
+	async listen(host: string, port: number): Promise<void> {
+		const server = new WebSocketServer({
+			host, port, perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes,
+		});
+		server.on('connection', socket => {
+			this.accept(socket);
+		});
+		await once(server, 'listening');
+		this.server = server;
+	}
+
+	/** Connections accepted and not yet closed. */
+	get open(): Iterable<PeerConnection> {
+		return this.connections;
+	}
+
+	async close(): Promise<void> {
+		for (const connection of this.connections) {
+			connection.close();
+		}
+
+		await new Promise<void>(resolve => {
+			if (this.server === undefined) {
+				resolve();
+				return;
+			}
+
+			this.server.close(() => {
+				resolve();
+			});
+		});
+	}
+
+	private accept(socket: WebSocket): void {
+		if (this.connections.size >= maximumIncomingConnections) {
+			this.metrics.count('peer.connection.refused');
+			socket.terminate();
+			return;
+		}
+
+		const connection = new PeerConnection(socket, this.local, this.handlers, this.metrics, false);
+		this.connections.add(connection);
+		connection.closed.addEventListener('abort', () => {
+			this.connections.delete(connection);
+		}, {once: true});
+		void connection.run();
+	}
+}
+
+/**
+ * Opens a connection to a peer and waits for its hello.
+ *
+ * @throws CallError with `did-not-run` when the peer can't be reached.
+ * @public
+ */
+export async function dialPeer(address: string, local: LocalPeer, handlers: PeerHandlers, metrics: Metrics): Promise<PeerConnection> {
+	const socket = new WebSocket(`ws://${address}`, {
+		perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes, handshakeTimeout: connectTimeoutMilliseconds,
+	});
+	try {
+		await once(socket, 'open');
+		const connection = new PeerConnection(socket, local, handlers, metrics, true);
+		void connection.run();
+		await connection.ready();
+		return connection;
+	} catch (error) {
+		socket.terminate();
+		throw new CallError(`peer ${address} can't be reached`, {
+			cause: error, props: {verdict: Verdict.didNotRun, reason: RefusalReason.connectionLost},
+		});
+	}
+}
