--- a/packages/distribution/src/lib/record-distributor.ts
+++ b/packages/distribution/src/lib/record-distributor.ts
@@ -26,6 +26,7 @@
 		private readonly store: RecordStore,
 		private readonly platform: PlatformClient,
 		private readonly metrics: Metrics,
+		private readonly onPlatformAnswer: () => void,
 	) {}
 
 	/** Runs one watch per key until the signal aborts. */
@@ -42,6 +43,7 @@
 		while (!signal.aborted) {
 			try {
 				const record = await this.platform.read(key, this.store.get(key)?.revision ?? 0, distributionOptions.watchMilliseconds);
+				this.onPlatformAnswer();
 				if (record !== undefined) {
 					this.store.accept(record.key, record.revision, record.value);
 				}
--- /dev/null
+++ b/packages/membership/src/lib/fleet-view.test.ts
@@ -0,0 +1,96 @@
+/**
+ * Guards against new work at leaving or restarted instances, and against trusting a list that nobody confirmed.
+ */
+import {describe, expect, it} from 'vitest';
+import type {FleetInstance} from './fleet-list.js';
+import {FleetView, membershipOptions} from './fleet-view.js';
+import {observedLeavingOptions} from './observed-leaving.js';
+
+const instanceOf = (name: string, failureDomain: string, state: FleetInstance['state'] = 'live'): FleetInstance => ({
+	name, service: name.split('-', 1)[0]!, failureDomain, region: 'nz-north', state, slots: 1,
+	peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:2', operatorAddress: '127.0.0.1:3',
+});
+
+function startView() {
+	const clock = {now: 0};
+	const view = new FleetView({instance: 'intake-1', failureDomain: 'akl-a'}, () => clock.now);
+	view.replace({schemaVersion: 1, instances: [instanceOf('racks-1', 'akl-a'), instanceOf('racks-2', 'akl-b'), instanceOf('racks-3', 'akl-a', 'leaving')]});
+	return {clock, view, racks: () => view.candidates('racks').map(instance => instance.name)};
+}
+
+type Step = (started: ReturnType<typeof startView>) => void;
+const wait = (milliseconds: number): Step => ({clock}) => {
+	clock.now += milliseconds;
+};
+
+const listAgain: Step = ({view}) => {
+	view.replace({schemaVersion: 1, instances: [instanceOf('racks-1', 'akl-a'), instanceOf('racks-2', 'akl-b')]});
+};
+
+const leaving = (incarnation: string): Step => ({view}) => {
+	view.noteLeaving('racks-1', incarnation);
+};
+
+const joined = (incarnation: string): Step => ({view}) => {
+	view.noteJoined('racks-1', incarnation);
+};
+
+const connected: Step = ({view}) => {
+	view.noteConnected('racks-2');
+};
+
+const disconnected: Step = ({view}) => {
+	view.noteDisconnected('racks-2');
+};
+
+const paused = (milliseconds: number): Step => ({view}) => {
+	view.notePause(milliseconds);
+};
+
+const confirmed: Step = ({view}) => {
+	view.confirm();
+};
+
+const cases: Array<[string, Step[], string[]]> = [
+	['shows live instances of the list', [], ['racks-1', 'racks-2']],
+	['drops an instance that says it leaves, before the list does', [leaving('a')], ['racks-2']],
+	['keeps it out when a newer list still calls it live', [leaving('a'), listAgain], ['racks-2']],
+	['keeps it out when the leaving incarnation greets again', [leaving('a'), joined('a')], ['racks-2']],
+	['takes it back with a new incarnation', [leaving('a'), joined('b')], ['racks-1', 'racks-2']],
+	['ignores a late notice of the old incarnation', [leaving('a'), joined('b'), leaving('a')], ['racks-1', 'racks-2']],
+	['ignores a late greeting of the old incarnation', [leaving('a'), joined('b'), joined('a')], ['racks-1', 'racks-2']],
+	['drops the new incarnation when that leaves too', [leaving('a'), joined('b'), leaving('b')], ['racks-2']],
+	['asks again once the notice is old', [leaving('a'), wait(observedLeavingOptions.beliefMilliseconds)], ['racks-1', 'racks-2']],
+	['believes the list up to its limit', [wait(membershipOptions.beliefMilliseconds - 1)], ['racks-1', 'racks-2']],
+	['shows nothing unseen once the list is old', [wait(membershipOptions.beliefMilliseconds)], []],
+	['shows connected instances of an old list', [connected, wait(membershipOptions.beliefMilliseconds)], ['racks-2']],
+	['counts connections of one instance', [connected, connected, disconnected, wait(60_000)], ['racks-2']],
+	['forgets a lost connection', [connected, disconnected, wait(membershipOptions.beliefMilliseconds)], []],
+	['believes a confirmed list again', [wait(90_000), confirmed], ['racks-1', 'racks-2']],
+	['doubts the list after a long pause', [connected, paused(20_000)], ['racks-2']],
+	['trusts it again after the first answer', [paused(20_000), confirmed], ['racks-1', 'racks-2']],
+	['does not doubt it after a short pause', [paused(400)], ['racks-1', 'racks-2']],
+];
+
+describe('FleetView', () => {
+	it.each(cases)('%s', (_case, steps, expected) => {
+		const started = startView();
+		for (const step of steps) {
+			step(started);
+		}
+
+		expect(started.racks()).toEqual(expected);
+	});
+
+	it('chooses watchers among live instances only, two per domain', () => {
+		const instances = Array.from({length: 30}, (_, index) =>
+			instanceOf(`racks-${index}`, index % 2 === 0 ? 'akl-a' : 'akl-b', index < 20 ? 'leaving' : 'live'));
+		const watchers = instances.filter(self => {
+			const view = new FleetView({instance: self.name, failureDomain: self.failureDomain});
+			view.replace({schemaVersion: 1, instances});
+			return view.isWatcher();
+		});
+		expect(watchers.map(watcher => watcher.state)).toEqual(['live', 'live', 'live', 'live']);
+		expect(watchers.filter(watcher => watcher.failureDomain === 'akl-a')).toHaveLength(2);
+	});
+});
--- a/packages/membership/src/lib/rendezvous.ts
+++ b/packages/membership/src/lib/rendezvous.ts
@@ -17,9 +17,50 @@
 	name: (candidate: Candidate) => string,
 	count: number,
 ): Candidate[] {
-	return [...candidates]
-		.map(candidate => ({candidate, weight: h32(`${key}\n${name(candidate)}`)}))
-		.toSorted((first, second) => second.weight - first.weight || (name(first.candidate) < name(second.candidate) ? -1 : 1))
-		.slice(0, count)
-		.map(ranked => ranked.candidate);
+	return highestWeighted(candidates, name, count, candidate => h32(`${key}\n${candidate}`));
+}
+
+/**
+ * Returns the `count` candidates with the highest hash of the unordered pair with `self`. Both ends of a pair compute the
+ * same weight, so a choice is often mutual and needs one connection in place of two.
+ *
+ * @public
+ */
+export function highestRankedPairs<Candidate>(
+	self: string,
+	candidates: Iterable<Candidate>,
+	name: (candidate: Candidate) => string,
+	count: number,
+): Candidate[] {
+	return highestWeighted(candidates, name, count, candidate =>
+		h32(self < candidate ? `${self}\n${candidate}` : `${candidate}\n${self}`));
+}
+
+/** Keeps the best few in one pass, since `count` is small against the candidates. */
+function highestWeighted<Candidate>(
+	candidates: Iterable<Candidate>,
+	name: (candidate: Candidate) => string,
+	count: number,
+	weigh: (name: string) => number,
+): Candidate[] {
+	if (count === 0) {
+		return [];
+	}
+
+	const best: Array<{candidate: Candidate; name: string; weight: number}> = [];
+	for (const candidate of candidates) {
+		const ranked = {candidate, name: name(candidate), weight: weigh(name(candidate))};
+		const last = best.at(count - 1);
+		if (last === undefined || isBefore(ranked, last)) {
+			const position = best.findIndex(held => isBefore(ranked, held));
+			best.splice(position === -1 ? best.length : position, 0, ranked);
+			best.length = Math.min(best.length, count);
+		}
+	}
+
+	return best.map(ranked => ranked.candidate);
+}
+
+function isBefore(first: {name: string; weight: number}, second: {name: string; weight: number}): boolean {
+	return first.weight === second.weight ? first.name < second.name : first.weight > second.weight;
 }
--- a/packages/node/src/lib/peer-handlers.ts
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -47,18 +47,31 @@
 	}
 
 	onControl(frame: Frame, peer: PeerConnection): void {
+		this.fleet.confirm();
 		this.distributor.receive(frame, peer);
 	}
 
 	onReady(peer: PeerConnection): void {
-		if (peer.remote !== undefined && !peer.remoteLeaving) {
-			this.fleet.noteJoined(peer.remote.instance);
+		const {remote} = peer;
+		if (remote === undefined) {
+			return;
+		}
+
+		this.fleet.noteConnected(remote.instance);
+		if (!peer.remoteLeaving) {
+			this.fleet.noteJoined(remote.instance, remote.incarnation);
+		}
+	}
+
+	onClosed(peer: PeerConnection): void {
+		if (peer.greeted && peer.remote !== undefined) {
+			this.fleet.noteDisconnected(peer.remote.instance);
 		}
 	}
 
 	onLeaving(peer: PeerConnection): void {
 		if (peer.remote !== undefined) {
-			this.fleet.noteLeaving(peer.remote.instance);
+			this.fleet.noteLeaving(peer.remote.instance, peer.remote.incarnation);
 			this.logs.info('peer is leaving', {peer: peer.remote.instance});
 		}
 	}
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -95,7 +95,9 @@
 	const fleet = register(FleetView, new FleetView(settings));
 	const policy = register(PolicyInForce, new PolicyInForce(store, logs, metrics));
 	followFleet(store, fleet, logs, metrics);
-	const distributor = register(RecordDistributor, new RecordDistributor(store, new PlatformClient(settings.platformUrl), metrics));
+	const distributor = register(RecordDistributor, new RecordDistributor(store, new PlatformClient(settings.platformUrl), metrics, () => {
+		fleet.confirm();
+	}));
 	const selector = register(TargetSelector, new TargetSelector(settings, fleet));
 	const admission = register(AdmissionController, new AdmissionController({...admissionOptions, slots: settings.targetSlots}));
 	const registry = register(CallRegistry, new CallRegistry());
@@ -112,6 +114,7 @@
 	handlers.executor = executor;
 	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics);
 	const pauses = register(PauseDetector, new PauseDetector(milliseconds => {
+		fleet.notePause(milliseconds);
 		metrics.count('process.paused');
 		logs.warn('process was paused', {milliseconds: Math.round(milliseconds)});
 	}));
--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -79,6 +79,8 @@
 export class PeerConnection {
 	/** The peer's hello; undefined until it arrived. */
 	remote: HelloFrame | undefined;
+	/** True once hello frames were exchanged and `onReady` was called. */
+	greeted = false;
 	/** True once the peer said that it leaves the fleet. */
 	remoteLeaving = false;
 	/** True where heartbeats are sent all the time and not only while calls wait. */
@@ -176,6 +178,7 @@
 				await this.ready();
 			}
 
+			this.greeted = true;
 			this.handlers.onReady?.(this);
 			await this.watchPeer();
 		} catch {
