Spread records by announce and fetch over kept control connections

Cause: every node watched the platform and no record went from node to node, so 1,300 nodes held 2,600 waiting reads and a node cut off from the platform got no news.

Each node keeps its neighbours connected with full-jitter redials; heartbeats carry revisions, whether the sender holds the connection for control and the age of the newest platform answer, so a connection that either side chose serves both. A newer record is fetched once per key, as the patch that its holder received or made, else whole; digests are checked, unusable patches fall back to the whole value. Lists of named objects are aligned by name before the comparison, because an index-wise comparison of a list without one element replaces all after it. A starting node brings the policy in force after it asked the platform and its neighbours; `bootstrapPeers` names peers to ask before a list is known.

Spread over real connections and processes is not tested in this commit.

--- a/packages/distribution/src/lib/platform-client.ts
+++ b/packages/distribution/src/lib/platform-client.ts
@@ -4,11 +4,21 @@
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@hemlockthread/verdict';
 import wreck from '@hapi/wreck';
+import {z} from 'zod';
+
+const recordSchema = z.object({key: z.string(), revision: z.int().min(0), value: z.string()});
+
+/** @public */
+export type PlatformRecord = z.infer<typeof recordSchema>;
+
+/** What the service answered: a record, nothing newer, or no such key. @public */
+export type PlatformAnswer = {type: 'record'; record: PlatformRecord} | {type: 'unchanged'} | {type: 'absent'};
 
 /** @public */
-export type PlatformRecord = {key: string; revision: number; value: string};
+export type PlatformRead = {key: string; after: number; waitMilliseconds: number; signal: AbortSignal};
 
 const readTimeoutMilliseconds = 2000;
+/** Escapes in JSON may make a value of 1 MB several times as long. */
 const maximumAnswerBytes = 4 * 1024 * 1024;
 
 /**
@@ -23,21 +33,48 @@
 		this.client = wreck.defaults({baseUrl});
 	}
 
-	/** Returns the newest record of the key above a revision; undefined when there is none within the wait. */
-	async read(key: string, after: number, waitMilliseconds: number): Promise<PlatformRecord | undefined> {
-		const response = await this.client.request('GET', `/configuration/${key}?after=${after}&waitMilliseconds=${waitMilliseconds}`, {
+	/**
+	 * Asks for a record of the key above a revision, and waits for one where told to.
+	 *
+	 * @throws an error when the service can't be reached or breaks its protocol.
+	 */
+	async read({key, after, waitMilliseconds, signal}: PlatformRead): Promise<PlatformAnswer> {
+		signal.throwIfAborted();
+		const request = this.client.request('GET', `/configuration/${key}?after=${after}&waitMilliseconds=${waitMilliseconds}`, {
 			timeout: waitMilliseconds + readTimeoutMilliseconds,
 		});
-		const payload = await wreck.read(response, {maxBytes: maximumAnswerBytes, timeout: readTimeoutMilliseconds});
-		if (response.statusCode !== 200) {
-			return undefined;
-		}
+		const onAbort = () => {
+			request.req.destroy();
+		};
 
-		const record = JSON.parse(Buffer.from(payload as Uint8Array).toString()) as PlatformRecord;
-		if (record.key !== key || !Number.isSafeInteger(record.revision) || typeof record.value !== 'string') {
-			throw new ProtocolError(`configuration service answered "${key}" with a malformed record`);
+		signal.addEventListener('abort', onAbort, {once: true});
+		try {
+			const response = await request;
+			const payload = await wreck.read(response, {maxBytes: maximumAnswerBytes, timeout: readTimeoutMilliseconds});
+			return readAnswer(key, response.statusCode ?? 0, Buffer.from(payload as Uint8Array).toString());
+		} finally {
+			signal.removeEventListener('abort', onAbort);
 		}
+	}
+}
 
-		return record;
+function readAnswer(key: string, status: number, payload: string): PlatformAnswer {
+	if (status === 204) {
+		return {type: 'unchanged'};
 	}
+
+	if (status === 404) {
+		return {type: 'absent'};
+	}
+
+	if (status !== 200) {
+		throw new ProtocolError(`configuration service answered "${key}" with status ${status}`);
+	}
+
+	const result = recordSchema.safeParse(JSON.parse(payload));
+	if (!result.success || result.data.key !== key) {
+		throw new ProtocolError(`configuration service answered "${key}" with a malformed record`);
+	}
+
+	return {type: 'record', record: result.data};
 }
--- /dev/null
+++ b/packages/distribution/src/lib/record-patch.ts
@@ -0,0 +1,122 @@
+/**
+ * JSON patches between two texts of a record. A patched text must equal the published one byte for byte, so a patch is
+ * made only where both texts are formatted alike, and is tried out before it is used.
+ */
+import {ProtocolError} from '@hemlockthread/verdict';
+import jsonPatch, {type Operation} from 'fast-json-patch';
+
+const {applyOperation, applyPatch, compare} = jsonPatch;
+
+/** `move` and `copy` are left out: copies of copies would let a small patch fill the memory. */
+const allowedOperations: ReadonlySet<string> = new Set(['add', 'remove', 'replace']);
+
+type TextFormat = {indent: string; suffix: string};
+type JsonMap = Record<string, unknown>;
+
+/**
+ * Returns the text of a patch, or undefined when there is none that reproduces the text.
+ *
+ * @internal
+ */
+export function makePatch(baseText: string, text: string): string | undefined {
+	const format = guessFormat(text);
+	const baseFormat = guessFormat(baseText);
+	if (format.indent !== baseFormat.indent || format.suffix !== baseFormat.suffix) {
+		return undefined;
+	}
+
+	try {
+		const document: unknown = JSON.parse(text);
+		const base: unknown = JSON.parse(baseText);
+		if (!isMap(document) || !isMap(base)) {
+			return undefined;
+		}
+
+		const operations = alignArrays(base, document, base, '');
+		const rest = compare(base, document);
+		const patched = applyPatch(base, rest).newDocument;
+		return write(patched, format) === text ? JSON.stringify([...operations, ...rest]) : undefined;
+	} catch {
+		// Text that is not JSON is still spread, but whole.
+		return undefined;
+	}
+}
+
+/**
+ * Applies a patch to the text that it was made for.
+ *
+ * @throws ProtocolError when the patch is malformed or does not fit.
+ * @internal
+ */
+export function patchText(baseText: string, patch: string): string {
+	try {
+		const operations = JSON.parse(patch) as Operation[];
+		if (!Array.isArray(operations) || operations.some(operation => !allowedOperations.has(operation.op))) {
+			throw new ProtocolError('record patch has an operation that is not allowed');
+		}
+
+		return write(applyPatch(JSON.parse(baseText), operations, true).newDocument, guessFormat(baseText));
+	} catch (error) {
+		throw new ProtocolError('record patch does not apply', {cause: error});
+	}
+}
+
+/** Joins patches that follow each other into one. @internal */
+export function joinPatches(patches: readonly string[]): string {
+	return `[${patches.map(patch => patch.slice(1, -1)).filter(operations => operations !== '').join(',')}]`;
+}
+
+function guessFormat(text: string): TextFormat {
+	return {indent: /^[\[\{]\n([ \t]+)/v.exec(text)?.[1] ?? '', suffix: text.endsWith('\n') ? '\n' : ''};
+}
+
+function write(value: unknown, format: TextFormat): string {
+	return JSON.stringify(value, undefined, format.indent) + format.suffix;
+}
+
+function isMap(value: unknown): value is JsonMap {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/**
+ * Removes and adds the elements by which two lists of named objects differ. The comparison of the library is by index,
+ * so one instance removed from the middle of the fleet list would replace every instance after it.
+ */
+function alignArrays(base: JsonMap, document: JsonMap, root: JsonMap, path: string): Operation[] {
+	return Object.entries(document).flatMap(([field, value]) => {
+		const held = base[field];
+		const fieldPath = `${path}/${field.replaceAll('~', '~0').replaceAll('/', '~1')}`;
+		if (isMap(held) && isMap(value)) {
+			return alignArrays(held, value, root, fieldPath);
+		}
+
+		return Array.isArray(held) && Array.isArray(value) ? alignArray(held, value, root, fieldPath) : [];
+	});
+}
+
+function alignArray(base: unknown[], document: unknown[], root: JsonMap, path: string): Operation[] {
+	const baseNames = namesOf(base);
+	const names = namesOf(document);
+	if (baseNames === undefined || names === undefined) {
+		return [];
+	}
+
+	const wanted = new Set(names);
+	const held = new Set(baseNames);
+	const removals = baseNames.flatMap((name, index) => wanted.has(name) ? [] : [index]).toReversed()
+		.map((index): Operation => ({op: 'remove', path: `${path}/${index}`}));
+	const additions = names.flatMap((name, index): Operation[] =>
+		held.has(name) ? [] : [{op: 'add', path: `${path}/${index}`, value: structuredClone(document[index])}]);
+	const operations = [...removals, ...additions];
+	for (const operation of operations) {
+		applyOperation(root, operation);
+	}
+
+	return operations;
+}
+
+/** Names of all elements; undefined unless every element has its own. */
+function namesOf(list: unknown[]): string[] | undefined {
+	const names = list.map(element => isMap(element) ? element.name : undefined);
+	return names.every(name => typeof name === 'string') && new Set(names).size === names.length ? names : undefined;
+}
--- a/packages/node/src/lib/peer-handlers.ts
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -47,7 +47,6 @@
 	}
 
 	onControl(frame: Frame, peer: PeerConnection): void {
-		this.fleet.confirm();
 		this.distributor.receive(frame, peer);
 	}
 
@@ -57,6 +56,7 @@
 			return;
 		}
 
+		this.distributor.peerReady(peer);
 		this.fleet.noteConnected(remote.instance);
 		if (!peer.remoteLeaving) {
 			this.fleet.noteJoined(remote.instance, remote.incarnation);
@@ -64,6 +64,7 @@
 	}
 
 	onClosed(peer: PeerConnection): void {
+		this.distributor.peerClosed(peer);
 		if (peer.greeted && peer.remote !== undefined) {
 			this.fleet.noteDisconnected(peer.remote.instance);
 		}
--- a/packages/node/src/lib/peer-pool.ts
+++ b/packages/node/src/lib/peer-pool.ts
@@ -44,7 +44,7 @@
 	 *
 	 * @throws CallError with `did-not-run` when the peer can't be reached.
 	 */
-	async connect(address: string): Promise<PeerConnection> {
+	async connect(address: string, purpose: 'calls' | 'control' = 'calls'): Promise<PeerConnection> {
 		const held = this.connections.get(address);
 		if (held?.usable === true) {
 			return held;
@@ -55,7 +55,8 @@
 			return underWay;
 		}
 
-		if (this.connections.size >= peerPoolOptions.maximumConnections) {
+		// Control connections are few, and must not wait for calls to end.
+		if (purpose === 'calls' && this.connections.size >= peerPoolOptions.maximumConnections) {
 			this.metrics.count('peer.pool.full');
 			throw new CallError('too many outgoing connections', {
 				props: {verdict: Verdict.didNotRun, reason: RefusalReason.connectionLost},
@@ -96,7 +97,7 @@
 	private closeIdle(): void {
 		const now = performance.now();
 		for (const connection of this.connections.values()) {
-			if (!connection.control && connection.pendingCalls === 0 && now - connection.lastUsedAt > peerPoolOptions.idleMilliseconds) {
+			if (!connection.heldForControl && connection.pendingCalls === 0 && now - connection.lastUsedAt > peerPoolOptions.idleMilliseconds) {
 				connection.close();
 			}
 		}
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -4,7 +4,9 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import 'reflect-metadata';
 import {AdmissionController, admissionOptions} from '@hemlockthread/admission';
-import {PlatformClient, RecordDistributor, RecordStore} from '@hemlockthread/distribution';
+import {
+	PlatformClient, RecordDistributor, RecordStore, distributionOptions,
+} from '@hemlockthread/distribution';
 import {IdentityAuthority, ProcessClock} from '@hemlockthread/identity';
 import {FleetView, parseFleetList} from '@hemlockthread/membership';
 import {OperationTable} from '@hemlockthread/operations';
@@ -53,7 +55,7 @@
 	await container.resolve(TargetListener).listen(settings.listen.target);
 	await container.resolve(OperatorListener).listen(settings.listen.operators);
 	await container.resolve(CallerListener).listen(settings.listen.callers);
-	void container.resolve(RecordDistributor).run(running.signal);
+	void container.resolve(RecordDistributor).run(running.signal, async address => container.resolve(PeerPool).connect(address, 'control'));
 	self.leaving.addEventListener('abort', () => {
 		logs.info('leaving the fleet');
 		for (const connection of [...container.resolve(PeerServer).open, ...container.resolve(PeerPool).open]) {
@@ -91,12 +93,13 @@
 	const metrics = register(Metrics, new Metrics({...settings.statsd, tags: {instance: settings.instance, service: settings.service}}));
 	const clock = new ProcessClock();
 	const authority = new IdentityAuthority(settings.identityKeys);
-	const store = register(RecordStore, new RecordStore());
+	const store = register(RecordStore, new RecordStore({deferredKeys: distributionOptions.deferredKeys}));
 	const fleet = register(FleetView, new FleetView(settings));
 	const policy = register(PolicyInForce, new PolicyInForce(store, logs, metrics));
 	followFleet(store, fleet, logs, metrics);
-	const distributor = register(RecordDistributor, new RecordDistributor(store, new PlatformClient(settings.platformUrl), metrics, () => {
-		fleet.confirm();
+	const distributor = register(RecordDistributor, new RecordDistributor({
+		self, store, fleet, platform: new PlatformClient(settings.platformUrl), metrics,
+		bootstrapPeers: settings.bootstrapPeers.map(({host, port}) => `${host}:${port}`),
 	}));
 	const selector = register(TargetSelector, new TargetSelector(settings, fleet));
 	const admission = register(AdmissionController, new AdmissionController({...admissionOptions, slots: settings.targetSlots}));
@@ -106,7 +109,7 @@
 	const handlers = new NodePeerHandlers(distributor, fleet, authority, logs);
 	const local: LocalPeer = {
 		instance: self.instance, incarnation: self.incarnation, service: self.service, failureDomain: self.failureDomain,
-		isLeaving: () => self.leaving.aborted, revisions: () => store.revisions(),
+		isLeaving: () => self.leaving.aborted, revisions: () => store.revisions(), platformAge: () => distributor.platformAge(),
 	};
 	register(PeerServer, new PeerServer(local, handlers, metrics));
 	const pool = register(PeerPool, new PeerPool(local, handlers, metrics));
@@ -114,7 +117,7 @@
 	handlers.executor = executor;
 	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics);
 	const pauses = register(PauseDetector, new PauseDetector(milliseconds => {
-		fleet.notePause(milliseconds);
+		distributor.notePause(milliseconds);
 		metrics.count('process.paused');
 		logs.warn('process was paused', {milliseconds: Math.round(milliseconds)});
 	}));
@@ -128,6 +131,7 @@
 	}));
 	dump.register('policy', () => policy.dump());
 	dump.register('records', () => store.dump());
+	dump.register('distribution', () => distributor.dump());
 	dump.register('fleet', () => fleet.dump());
 	dump.register('admission', () => admission.dump());
 	dump.register('routing', () => selector.dump());
--- a/packages/settings/src/lib/node-settings.ts
+++ b/packages/settings/src/lib/node-settings.ts
@@ -25,6 +25,8 @@
 	targetSlots: z.int().min(1).max(100_000),
 	/** Base URL of the configuration service. */
 	platformUrl: z.url(),
+	/** Peer listeners of other nodes, asked at start until a fleet list is known. */
+	bootstrapPeers: z.array(addressSchema).max(64).default([]),
 	identityKeys: z.array(z.strictObject({id: z.string().min(1), secret: z.string().min(32)})).min(1),
 	statsd: z.strictObject({host: z.union([z.ipv4(), z.ipv6()]), port: z.int().min(1).max(65_535)}).optional(),
 	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -10,6 +10,6 @@
 export {LinkClock} from './lib/link-clock.js';
 export {
 	PeerConnection, connectionOptions, type PeerHandlers, type RequestBody, type AnswerBody, type LocalPeer,
-	type IncomingRequest,
+	type IncomingRequest, type PeerTraffic,
 } from './lib/peer-connection.js';
 export {PeerServer, dialPeer} from './lib/peer-server.js';
--- a/packages/wire/src/lib/codec.ts
+++ b/packages/wire/src/lib/codec.ts
@@ -39,7 +39,8 @@
 		retryAfterMilliseconds: optional(isNumber), leaving: isFlag, sentAt: isNumber, heard: optional(isNumber),
 	},
 	heartbeat: {
-		revisions: isNumberMap, leaving: isFlag, echo: isFlag, sentAt: isNumber, heard: optional(isNumber),
+		revisions: isNumberMap, leaving: isFlag, echo: isFlag, control: optional(isFlag),
+		platformAgeMilliseconds: optional(isNumber), sentAt: isNumber, heard: optional(isNumber),
 	},
 	announce: {key: isText, revision: isCount, digest: isText},
 	fetch: {key: isText, haveRevision: isCount},
--- a/packages/wire/src/lib/frames.ts
+++ b/packages/wire/src/lib/frames.ts
@@ -114,6 +114,10 @@
 	leaving: boolean;
 	/** True when the receiver must answer with a heartbeat of its own. */
 	echo: boolean;
+	/** True while the sender keeps this connection open for control. */
+	control?: boolean;
+	/** Time since the newest answer of the configuration service that the sender knows of, through any node. */
+	platformAgeMilliseconds?: number;
 	sentAt: number;
 	heard?: number;
 };
--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -19,6 +19,8 @@
 export const connectionOptions = {
 	/** Time between heartbeats on control connections. */
 	heartbeatMilliseconds: 1000,
+	/** Silence on a control connection after which the peer is asked for a heartbeat. */
+	echoAfterMilliseconds: 1500,
 	/** A connection that is expected to answer and stays silent this long is closed. */
 	silenceLimitMilliseconds: 3000,
 	/** Longest wait for the peer's hello. */
@@ -37,8 +39,13 @@
 	failureDomain: string;
 	isLeaving(): boolean;
 	revisions(): Revisions;
+	/** Time since the newest answer of the configuration service known here; undefined when there was none. */
+	platformAge?(): number | undefined;
 };
 
+/** Frames and payload bytes of one connection. @public */
+export type PeerTraffic = {sentFrames: number; sentBytes: number; receivedFrames: number; receivedBytes: number};
+
 /** @public */
 export type RequestBody = Omit<RequestFrame, 'type' | 'identifier' | 'sentAt' | 'heard'>;
 
@@ -83,8 +90,14 @@
 	greeted = false;
 	/** True once the peer said that it leaves the fleet. */
 	remoteLeaving = false;
-	/** True where heartbeats are sent all the time and not only while calls wait. */
+	/** True where this side keeps the connection open for control. */
 	control = false;
+	/** True where the peer keeps the connection open for control. */
+	remoteControl = false;
+	readonly traffic: PeerTraffic = {
+		sentFrames: 0, sentBytes: 0, receivedFrames: 0, receivedBytes: 0,
+	};
+
 	/** Monotonic time of the last call on this connection. */
 	lastUsedAt = performance.now();
 
@@ -113,6 +126,7 @@
 		},
 		heartbeat: (frame, receivedAt) => {
 			this.clock.age(frame.sentAt, frame.heard, receivedAt);
+			this.remoteControl = frame.control === true;
 			this.noteLeaving(frame.leaving);
 			if (frame.echo) {
 				this.sendHeartbeat(false);
@@ -136,7 +150,8 @@
 		private readonly local: LocalPeer,
 		private readonly handlers: PeerHandlers,
 		private readonly metrics: Metrics,
-		private readonly dialled: boolean,
+		/** True on the side that opened the connection. */
+		readonly dialled: boolean,
 	) {
 		this.helloReceived = new Promise(resolve => {
 			this.acceptHello = resolve;
@@ -166,6 +181,24 @@
 		return this.socket.readyState === 1 && this.remote !== undefined && !this.closing.signal.aborted;
 	}
 
+	/** True while either side keeps the connection open for control; heartbeats are then sent all the time. */
+	get heldForControl(): boolean {
+		return this.control || this.remoteControl;
+	}
+
+	/** Bytes that wait to be written. */
+	get bufferedBytes(): number {
+		return this.socket.bufferedAmount;
+	}
+
+	/** Keeps the connection open for control, or stops to, and tells the peer. */
+	holdControl(hold: boolean): void {
+		if (this.control !== hold) {
+			this.control = hold;
+			this.sendHeartbeat(false);
+		}
+	}
+
 	/** Exchanges hello frames, then checks until the end that the peer is alive. */
 	async run(): Promise<void> {
 		try {
@@ -239,14 +272,25 @@
 
 	send(frame: Frame): void {
 		if (this.socket.readyState === 1) {
-			this.socket.send(encodeFrame(frame));
+			const bytes = encodeFrame(frame);
+			this.traffic.sentFrames += 1;
+			this.traffic.sentBytes += bytes.length;
+			this.socket.send(bytes);
 		}
 	}
 
 	/** Tells the peer the current revisions and whether this node leaves. */
 	sendHeartbeat(echo: boolean): void {
+		const age = this.local.platformAge?.();
 		this.send({
-			type: 'heartbeat', revisions: this.local.revisions(), leaving: this.local.isLeaving(), echo, sentAt: performance.now(), heard: this.clock.heard,
+			type: 'heartbeat',
+			revisions: this.local.revisions(),
+			leaving: this.local.isLeaving(),
+			echo,
+			control: this.control,
+			platformAgeMilliseconds: age === undefined ? undefined : Math.round(age),
+			sentAt: performance.now(),
+			heard: this.clock.heard,
 		});
 	}
 
@@ -276,6 +320,8 @@
 	private receive(data: Uint8Array): void {
 		const receivedAt = performance.now();
 		this.lastReceivedAt = receivedAt;
+		this.traffic.receivedFrames += 1;
+		this.traffic.receivedBytes += data.length;
 		try {
 			const frame = decodeFrame(data);
 			if (frame === undefined) {
@@ -353,7 +399,7 @@
 			const now = performance.now();
 			const pausedHere = now - checkedAt > 2 * connectionOptions.heartbeatMilliseconds;
 			checkedAt = now;
-			if (!this.control && this.pending.size === 0) {
+			if (!this.heldForControl && this.pending.size === 0) {
 				continue;
 			}
 
@@ -364,8 +410,11 @@
 				return;
 			}
 
-			if (this.control || silence > connectionOptions.heartbeatMilliseconds) {
-				this.sendHeartbeat(!this.control);
+			if (this.heldForControl) {
+				// A peer of a version without the `control` field sends no heartbeats of its own, but answers.
+				this.sendHeartbeat(silence > connectionOptions.echoAfterMilliseconds);
+			} else if (silence > connectionOptions.heartbeatMilliseconds) {
+				this.sendHeartbeat(true);
 			}
 		}
 	}
