Bound extra attempts over the whole chain, and test kills, freezes, leaving and stops

Cause: process tests showed four faults. (1) A retry near the top repeated the whole chain below it: with a retry total of 3 and depth 4 the targets saw 1, 3, 4, 4 attempts, 8 extra. (3) A stopped process stayed alive up to 20 s for its platform watch. (4) An irreversible leg under a reversible parent could run again when the parent was retried at another instance. Root identifiers of irreversible calls are chosen before minting, so that minting and execution see one priority. Errors that hapi makes itself carry a verdict.

--- a/packages/distribution/src/lib/platform-client.ts
+++ b/packages/distribution/src/lib/platform-client.ts
@@ -2,6 +2,7 @@
  * Reads and watches the configuration service.
  */
 import {Buffer} from 'node:buffer';
+import type {IncomingMessage} from 'node:http';
 import {ProtocolError} from '@hemlockthread/verdict';
 import wreck from '@hapi/wreck';
 
@@ -24,10 +25,23 @@
 	}
 
 	/** Returns the newest record of the key above a revision; undefined when there is none within the wait. */
-	async read(key: string, after: number, waitMilliseconds: number): Promise<PlatformRecord | undefined> {
-		const response = await this.client.request('GET', `/configuration/${key}?after=${after}&waitMilliseconds=${waitMilliseconds}`, {
+	async read(key: string, after: number, waitMilliseconds: number, signal: AbortSignal): Promise<PlatformRecord | undefined> {
+		const request = this.client.request('GET', `/configuration/${key}?after=${after}&waitMilliseconds=${waitMilliseconds}`, {
 			timeout: waitMilliseconds + readTimeoutMilliseconds,
 		});
+		const abort = () => {
+			request.req.destroy();
+		};
+
+		signal.addEventListener('abort', abort, {once: true});
+		try {
+			return await this.readAnswer(key, await request);
+		} finally {
+			signal.removeEventListener('abort', abort);
+		}
+	}
+
+	private async readAnswer(key: string, response: IncomingMessage): Promise<PlatformRecord | undefined> {
 		const payload = await wreck.read(response, {maxBytes: maximumAnswerBytes, timeout: readTimeoutMilliseconds});
 		if (response.statusCode !== 200) {
 			return undefined;
--- a/packages/distribution/src/lib/record-distributor.ts
+++ b/packages/distribution/src/lib/record-distributor.ts
@@ -41,7 +41,7 @@
 	private async watch(key: string, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
 			try {
-				const record = await this.platform.read(key, this.store.get(key)?.revision ?? 0, distributionOptions.watchMilliseconds);
+				const record = await this.platform.read(key, this.store.get(key)?.revision ?? 0, distributionOptions.watchMilliseconds, signal);
 				if (record !== undefined) {
 					this.store.accept(record.key, record.revision, record.value);
 				}
--- a/packages/identity/src/lib/identity-authority.ts
+++ b/packages/identity/src/lib/identity-authority.ts
@@ -32,6 +32,8 @@
 
 /** @public */
 export type MintRequest = {
+	/** Operation id; a random one by default. */
+	operation?: string;
 	service: string;
 	kind: string;
 	executor: string;
@@ -59,9 +61,9 @@
 	}
 
 	mint(request: MintRequest, now: number): string {
-		const {lifetimeMilliseconds, ...claims} = request;
+		const {lifetimeMilliseconds, operation = randomUUID(), ...claims} = request;
 		return this.sign({
-			...claims, operation: randomUUID(), issuedAt: now, expiresAt: now + lifetimeMilliseconds, generation: 0,
+			...claims, operation, issuedAt: now, expiresAt: now + lifetimeMilliseconds, generation: 0,
 		});
 	}
 
--- a/packages/identity/src/lib/retry-allowance.ts
+++ b/packages/identity/src/lib/retry-allowance.ts
@@ -31,9 +31,12 @@
 		return true;
 	}
 
-	/** Takes out half of what remains, rounded down, for one leg. */
+	/**
+	 * Takes out half of what remains, rounded up, for one leg. Rounding up leaves the last retry to the deepest node, where
+	 * a repeat costs least.
+	 */
 	split(): number {
-		const share = Math.floor(this.remainingRetries / 2);
+		const share = Math.ceil(this.remainingRetries / 2);
 		this.remainingRetries -= share;
 		return share;
 	}
--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -33,6 +33,15 @@
 /** @public */
 export type MintResult = {token: string; identity: NonNullable<Call['identity']>} | {refused: RefusalReasonName};
 
+/** @public */
+export type MintPlan = {
+	service: string;
+	kind: string;
+	rootKind: string;
+	priority: number;
+	operation?: string;
+};
+
 type Attempt = {candidate: Candidate; call: Call};
 
 /** Failures after which another attempt of a reversible call is sensible. */
@@ -68,6 +77,7 @@
 		const tried = new Set<string>();
 		let reroutes = 0;
 		let mayHaveRun = false;
+		let attempted = call;
 		for (let retries = 0; ;) {
 			const candidate = this.selector.choose({
 				service: call.service, rootKind: call.rootKind, priority: call.priority, exclude: tried,
@@ -76,7 +86,7 @@
 				return this.unchosen(call.service, candidate, mayHaveRun);
 			}
 
-			const result = await this.attempt({candidate, call});
+			const result = await this.attempt({candidate, call: attempted});
 			mayHaveRun ||= result.verdict === Verdict.mayHaveRun;
 			if (!isRetryable(result) || this.isOver(call)) {
 				return mayHaveRun && result.verdict === Verdict.didNotRun ? {...result, verdict: Verdict.mayHaveRun} : result;
@@ -95,6 +105,7 @@
 			}
 
 			retries += 1;
+			attempted = {...call, repeated: true};
 			this.metrics.count('call.retried');
 			await backOff(retries, call);
 		}
@@ -119,8 +130,8 @@
 		}
 	}
 
-	/** Mints an identity that names a reachable executor. */
-	async mint(service: string, kind: string, rootKind: string, priority: number): Promise<MintResult> {
+	/** Mints an identity that names a reachable executor. The priority of a root call follows from its operation id. */
+	async mint({service, kind, rootKind, priority, operation}: MintPlan): Promise<MintResult> {
 		const lifetimeMilliseconds = this.policy.current?.content.identityLifetimeMilliseconds;
 		if (lifetimeMilliseconds === undefined) {
 			return {refused: RefusalReason.notReady};
@@ -145,7 +156,7 @@
 			}
 
 			const token = this.authority.mint({
-				service, kind, executor: instance.name, executorAddress: instance.peerAddress, incarnation,
+				operation, service, kind, executor: instance.name, executorAddress: instance.peerAddress, incarnation,
 				failureDomain: instance.failureDomain, lifetimeMilliseconds,
 			}, this.clock.now());
 			const check = this.authority.verify(token);
@@ -199,7 +210,7 @@
 		try {
 			const answer = await peer.call({
 				service: call.service, kind: call.kind, rootKind: call.rootKind, rootIdentifier: call.rootIdentifier,
-				priority: call.priority, remainingMilliseconds, retryShare: share, depth: call.depth,
+				priority: call.priority, remainingMilliseconds, retryShare: share, repeated: call.repeated, depth: call.depth,
 				identity: call.identity?.token, method: call.message.method, path: call.message.path,
 				headers: call.message.headers, body: call.message.body,
 			}, AbortSignal.any([call.signal, deadline.signal]));
--- a/packages/node/src/lib/call.ts
+++ b/packages/node/src/lib/call.ts
@@ -39,6 +39,8 @@
 	depth: number;
 	message: CallMessage;
 	allowance: RetryAllowance;
+	/** True for a repeated attempt: its legs were attempted before, so each of them takes a retry as well. */
+	repeated: boolean;
 	identity?: {token: string; claims: OperationIdentity};
 	signal: AbortSignal;
 };
--- a/packages/node/src/lib/caller-listener.ts
+++ b/packages/node/src/lib/caller-listener.ts
@@ -77,7 +77,7 @@
 
 		const token = header(request, Header.idempotencyKey);
 		if (token === undefined) {
-			return this.offerIdentity(service, kindName, call.priority);
+			return this.offerIdentity(call);
 		}
 
 		const check = this.authority.verify(token);
@@ -104,13 +104,13 @@
 			service, kind: kind.name, rootKind: kind.name, rootIdentifier,
 			priority: this.policy.current!.priorityOf(kind.name, rootIdentifier),
 			deadlineAt: performance.now() + lifetime - this.pauses.possibleWait(),
-			depth: rootDepth, message: readMessage(request), allowance: new RetryAllowance(kind.retries),
+			depth: rootDepth, message: readMessage(request), allowance: new RetryAllowance(kind.retries), repeated: false,
 			signal: disconnectSignal(request),
 		};
 	}
 
-	private async offerIdentity(service: string, kind: string, priority: number): Promise<CallResult> {
-		const minted = await this.forwarder.mint(service, kind, kind, priority);
+	private async offerIdentity(call: Call): Promise<CallResult> {
+		const minted = await this.forwarder.mint({...call, operation: call.rootIdentifier});
 		return 'refused' in minted
 			? refusal(Verdict.didNotRun, minted.refused, {retryAfterMilliseconds: 1000})
 			: refusal(Verdict.didNotRun, RefusalReason.identityNeeded, {nextIdentity: minted.token});
@@ -127,7 +127,10 @@
 			return writeResult(toolkit, refusedNow(RefusalReason.unknownKind));
 		}
 
-		const minted = await this.forwarder.mint(service, kindName, kindName, current.priorityOf(kindName, randomUUID()));
+		const operation = randomUUID();
+		const minted = await this.forwarder.mint({
+			service, kind: kindName, rootKind: kindName, priority: current.priorityOf(kindName, operation), operation,
+		});
 		if ('refused' in minted) {
 			return writeResult(toolkit, refusal(Verdict.didNotRun, minted.refused, {retryAfterMilliseconds: 1000}));
 		}
--- a/packages/node/src/lib/http-server.ts
+++ b/packages/node/src/lib/http-server.ts
@@ -1,9 +1,14 @@
 /**
  * hapi servers with the least work per request: raw bodies, no cookies, no compression.
  */
-import {server as createServer, type Server, type ServerRoute} from '@hapi/hapi';
+import {
+	server as createServer, type Request, type ResponseToolkit, type Server, type ServerRoute,
+} from '@hapi/hapi';
+import {Verdict} from '@hemlockthread/verdict';
 import {frameLimits} from '@hemlockthread/wire';
+import {Header} from './call.js';
 
+const firstServerError = 500;
 const payloadTimeoutMilliseconds = 10_000;
 
 /** Creates a server that listens on an IP number. @public */
@@ -22,7 +27,22 @@
 			cors: false,
 		},
 	});
+	httpServer.ext('onPreResponse', addVerdictToErrors);
 	httpServer.route(routes);
 	await httpServer.start();
 	return httpServer;
 }
+
+/**
+ * Errors that hapi makes itself, such as an unknown path or a body over the limit, come before the handler, so nothing
+ * ran. An exception in a handler leaves that open.
+ */
+function addVerdictToErrors(request: Request, toolkit: ResponseToolkit): symbol {
+	const {response} = request;
+	if ('isBoom' in response) {
+		const verdict = response.output.statusCode < firstServerError ? Verdict.didNotRun : Verdict.mayHaveRun;
+		response.output.headers[Header.verdict] = verdict;
+	}
+
+	return toolkit.continue;
+}
--- a/packages/node/src/lib/peer-handlers.ts
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -41,7 +41,7 @@
 			priority: frame.priority, deadlineAt: performance.now() + frame.remainingMilliseconds - request.ageMilliseconds,
 			depth: frame.depth, message: {
 				method: frame.method, path: frame.path, headers: frame.headers, body: frame.body,
-			}, allowance, identity, signal: request.signal,
+			}, allowance, repeated: frame.repeated ?? false, identity, signal: request.signal,
 		};
 		return toAnswer(await this.executor.execute(call), allowance);
 	}
--- a/packages/node/src/lib/target-listener.ts
+++ b/packages/node/src/lib/target-listener.ts
@@ -78,6 +78,11 @@
 			return refusedNow(RefusalReason.tooDeep);
 		}
 
+		if (kind.irreversible && parent.call.identity === undefined) {
+			// A reversible parent may be attempted again elsewhere, where this leg would be a new operation.
+			return refusedNow(RefusalReason.parentReversible);
+		}
+
 		const leg = parent.leg(legKey(service, kindName, message, header(request, Header.step)), kind.irreversible);
 		if (leg === undefined) {
 			return refusedNow(RefusalReason.tooManyCalls);
@@ -114,18 +119,19 @@
 		return this.forwarder.forward({
 			service, kind: kind.name, rootKind: kind.name, rootIdentifier: randomUUID(), priority: lowestPriority,
 			deadlineAt: performance.now() + this.policy.current!.shortestLifetimeMilliseconds,
-			depth: callRegistryOptions.maximumDepth, message, allowance: new RetryAllowance(0), signal,
+			depth: callRegistryOptions.maximumDepth, message, allowance: new RetryAllowance(0), repeated: false, signal,
 		});
 	}
 
 	private async callLeg(leg: Leg, call: Call): Promise<CallResult> {
-		if (leg.attempts > 0 && !call.allowance.take()) {
+		if (mustPay(leg, call) && !call.allowance.take()) {
 			this.metrics.count('call.retries-exhausted');
 			return refusal(leg.verdict === Verdict.didNotRun ? Verdict.didNotRun : Verdict.mayHaveRun, RefusalReason.retriesExhausted);
 		}
 
+		const repeated = mustPay(leg, call);
 		leg.attempts += 1;
-		const result = await this.forwarder.forward(call);
+		const result = await this.forwarder.forward({...call, repeated});
 		leg.verdict = result.verdict;
 		return result;
 	}
@@ -140,13 +146,14 @@
 			return leg.result;
 		}
 
-		if (leg.attempts > 0 && !call.allowance.take()) {
+		if (mustPay(leg, call) && !call.allowance.take()) {
 			this.metrics.count('call.retries-exhausted');
 			return refusal(leg.verdict, RefusalReason.retriesExhausted);
 		}
 
+		const repeated = mustPay(leg, call);
 		leg.attempts += 1;
-		leg.running = this.runIrreversibleLeg(leg, call);
+		leg.running = this.runIrreversibleLeg(leg, {...call, repeated});
 		try {
 			leg.result = await leg.running;
 			return leg.result;
@@ -158,7 +165,7 @@
 	private async runIrreversibleLeg(leg: Leg, call: Call): Promise<CallResult> {
 		if (leg.verdict === Verdict.didNotRun || leg.identity === undefined) {
 			// Nothing ran and the old generation is closed, so any executor may be named.
-			const minted = await this.forwarder.mint(call.service, call.kind, call.rootKind, call.priority);
+			const minted = await this.forwarder.mint(call);
 			if ('refused' in minted) {
 				return refusedNow(minted.refused);
 			}
@@ -173,6 +180,11 @@
 	}
 }
 
+/** A leg takes a retry when it was attempted before, under this attempt of its parent or under an earlier one. */
+function mustPay(leg: Leg, call: Call): boolean {
+	return leg.attempts > 0 || call.repeated;
+}
+
 function legKey(service: string, kind: string, message: CallMessage, step: string | undefined): string {
 	const last = step === undefined ? createHash('sha256').update(message.body).digest('base64url') : `step ${step}`;
 	return [service, kind, message.method, message.path, last].join('\n');
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -3,5 +3,5 @@
  */
 export {PlatformStandIn} from './lib/platform.js';
 export {
-	TargetStandIn, type TargetPlan, type TargetRun, type TargetKindPlan, type TargetLegPlan,
+	TargetStandIn, type TargetPlan, type TargetFault, type TargetRun, type TargetKindPlan, type TargetLegPlan,
 } from './lib/target.js';
--- a/packages/stand-ins/src/lib/target.ts
+++ b/packages/stand-ins/src/lib/target.ts
@@ -32,6 +32,18 @@
 	legAttempts?: number;
 };
 
+/**
+ * Faults that a target shows on a kind.
+ *
+ * - `fail`: answers 500 after its work.
+ * - `shed`: refuses before its work and declares that it did not run.
+ * - `truncate`: sends half of its answer and closes the connection.
+ * - `hang-up`: closes the connection after its work, without an answer.
+ *
+ * @public
+ */
+export type TargetFault = 'fail' | 'shed' | 'truncate' | 'hang-up';
+
 /** One run of a request, as the oracle sees it. @public */
 export type TargetRun = {kind: string; operation?: string; body: string; finished: boolean};
 
@@ -44,6 +56,26 @@
 	readonly runs: TargetRun[] = [];
 	/** Factor on all work times. */
 	slowness = 1;
+	/** Faults by kind. */
+	readonly faults = new Map<string, TargetFault>();
+	private readonly faultAnswers: Record<TargetFault, (response: ServerResponse, answer: string) => void> = {
+		fail(response) {
+			response.writeHead(500).end('failed');
+		},
+		shed(response) {
+			response.writeHead(503, {'hemlockthread-verdict': 'did-not-run'}).end();
+		},
+		truncate(response, answer) {
+			response.writeHead(200, {'content-length': answer.length});
+			response.write(answer.slice(0, answer.length / 2), () => {
+				response.destroy();
+			});
+		},
+		'hang-up'(response) {
+			response.destroy();
+		},
+	};
+
 	private working = 0;
 	private readonly waiting: Array<() => void> = [];
 	private readonly agent = new Agent({keepAlive: true, noDelay: true});
@@ -87,6 +119,12 @@
 				return;
 			}
 
+			const fault = this.faults.get(kind);
+			if (fault === 'shed') {
+				this.faultAnswers.shed(response, '');
+				return;
+			}
+
 			this.runs.push(run);
 			await delay(plan.workMilliseconds * this.slowness);
 			const legs: unknown[] = [];
@@ -95,11 +133,17 @@
 			}
 
 			run.finished = true;
+			const answer = JSON.stringify({
+				service: this.plan.service, kind, body, legs,
+			});
+			if (fault !== undefined) {
+				this.faultAnswers[fault](response, answer);
+				return;
+			}
+
 			const failed = legs.some(leg => (leg as {status: number}).status !== 200);
 			response.writeHead(failed ? 502 : 200, {'content-type': 'application/json'})
-				.end(JSON.stringify({
-					service: this.plan.service, kind, body, legs,
-				}));
+				.end(answer);
 		} finally {
 			this.freeSlot();
 		}
--- a/packages/wire/src/lib/codec.ts
+++ b/packages/wire/src/lib/codec.ts
@@ -29,7 +29,7 @@
 	},
 	request: {
 		identifier: isCount, service: isText, kind: isText, rootKind: isText, rootIdentifier: isText, priority: isNumber,
-		remainingMilliseconds: isNumber, retryShare: isCount, depth: isCount, identity: optional(isText), method: isText,
+		remainingMilliseconds: isNumber, retryShare: isCount, repeated: optional(isFlag), depth: isCount, identity: optional(isText), method: isText,
 		path: isText, headers: isTextMap, body: isBytes, sentAt: isNumber, heard: optional(isNumber),
 	},
 	cancel: {identifier: isCount},
--- a/packages/wire/src/lib/frames.ts
+++ b/packages/wire/src/lib/frames.ts
@@ -70,6 +70,8 @@
 	/** Time left to the deadline when the frame was sent. */
 	remainingMilliseconds: number;
 	retryShare: number;
+	/** True for a repeated attempt, whose downstream legs are repeats as well and are paid from the share. */
+	repeated?: boolean;
 	depth: number;
 	/** Operation identity, for irreversible calls. */
 	identity?: string;
