Add a TCP relay stand-in that breaks connections at an exact byte

Tests of broken connections need cuts, one-way stalls, delays, half-closes and refused connections between real processes. Node reports a reset that follows data as an end of the stream, so the test waits for either.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -5,3 +5,4 @@
 export {
 	TargetStandIn, type TargetPlan, type TargetRun, type TargetKindPlan, type TargetLegPlan,
 } from './lib/target.js';
+export {TcpRelayStandIn, type RelayAddress, type RelayDirection} from './lib/tcp-relay.js';
--- /dev/null
+++ b/packages/stand-ins/src/lib/tcp-relay.test.ts
@@ -0,0 +1,128 @@
+/**
+ * Guards that the relay breaks connections exactly as asked; a fault at the wrong byte would let tests of broken
+ * connections pass without testing them.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {TcpRelayStandIn} from './tcp-relay.js';
+
+let echo: Server;
+let relay: TcpRelayStandIn;
+let received: string;
+let client: Socket;
+let answered: string;
+
+beforeEach(async () => {
+	received = '';
+	answered = '';
+	echo = createServer({allowHalfOpen: true}, socket => {
+		socket.on('error', () => undefined);
+		socket.on('data', (chunk: Uint8Array) => {
+			received += Buffer.from(chunk).toString();
+			socket.write(chunk);
+		});
+		socket.on('end', () => {
+			socket.end();
+		});
+	});
+	echo.listen(0, '127.0.0.1');
+	await once(echo, 'listening');
+	relay = new TcpRelayStandIn({host: '127.0.0.1', port: (echo.address() as AddressInfo).port});
+	client = connect({...await relay.listen('127.0.0.1'), allowHalfOpen: true});
+	client.on('error', () => undefined);
+	client.on('data', (chunk: Uint8Array) => {
+		answered += Buffer.from(chunk).toString();
+	});
+	await once(client, 'connect');
+});
+
+afterEach(async () => {
+	client.destroy();
+	await relay.close();
+	echo.close();
+});
+
+/** Waits for the end of a connection. libuv reports a reset that follows data as an end of the stream. */
+async function closed(socket: Socket): Promise<void> {
+	return new Promise(resolve => {
+		socket.once('end', () => {
+			resolve();
+		});
+		socket.once('close', () => {
+			resolve();
+		});
+	});
+}
+
+describe('TCP relay', () => {
+	it('passes bytes both ways and counts them', async () => {
+		client.write('0123456789');
+		await expect.poll(() => answered).toBe('0123456789');
+		expect(relay.bytes).toEqual({forward: 10, backward: 10});
+	});
+
+	it.each([
+		{direction: 'forward', bytes: 4, seen: {received: '0123', answered: ''}},
+		{direction: 'forward', bytes: 0, seen: {received: '', answered: ''}},
+		{direction: 'backward', bytes: 6, seen: {received: '0123456789', answered: '012345'}},
+	] as const)('cuts after $bytes bytes $direction', async ({direction, bytes, seen}) => {
+		relay.cutAfter(direction, bytes);
+		client.write('0123456789');
+		await closed(client);
+		await expect.poll(() => received).toBe(seen.received);
+		if (direction === 'backward') {
+			expect(answered).toBe(seen.answered);
+		}
+
+		expect(relay.bytes[direction]).toBe(bytes);
+		expect(relay.open).toBe(0);
+	});
+
+	it.each(['forward', 'backward'] as const)('holds what goes %s until it is healed', async direction => {
+		relay.stopForwarding(direction);
+		client.write('held');
+		await expect.poll(() => direction === 'forward' ? relay.bytes.forward : received).toBe(direction === 'forward' ? 0 : 'held');
+		expect(answered).toBe('');
+		relay.heal();
+		await expect.poll(() => answered).toBe('held');
+	});
+
+	it('delays chunks and keeps their order', async () => {
+		relay.delay(20);
+		client.write('a');
+		await expect.poll(() => relay.bytes.forward).toBe(1);
+		client.write('b');
+		relay.delay(1);
+		client.write('c');
+		await expect.poll(() => answered).toBe('abc');
+	});
+
+	it('half-closes one direction and still passes the other', async () => {
+		client.write('first');
+		await expect.poll(() => answered).toBe('first');
+		const ended = once(client, 'end');
+		relay.halfClose('backward');
+		await ended;
+		client.write('second');
+		await expect.poll(() => received).toBe('firstsecond');
+		expect(answered).toBe('first');
+	});
+
+	it('refuses new connections until it is healed', async () => {
+		const address = {host: '127.0.0.1', port: client.remotePort!};
+		relay.refuse();
+		const refused = connect(address);
+		refused.on('error', () => undefined);
+		await closed(refused);
+		relay.heal();
+		const healed = connect(address);
+		await once(healed, 'connect');
+		healed.destroy();
+	});
+});
