--- a/packages/policy/src/lib/policy-record.ts
+++ b/packages/policy/src/lib/policy-record.ts
@@ -1,7 +1,7 @@
 /**
  * The policy in force, independent of the schema version that it was published in.
  */
-import {createHash} from 'node:crypto';
+import xxhash from 'xxhash-wasm';
 
 /** One kind of request. @public */
 export type PolicyKind = {
@@ -16,6 +16,8 @@
 	retries: number;
 	/** Longest life of a request. */
 	lifetimeMilliseconds: number;
+	/** Text for readers; it has no effect. */
+	notes?: string;
 };
 
 /** @public */
@@ -26,9 +28,14 @@
 	identityLifetimeMilliseconds: number;
 	/** Time over which a cold target's limit rises to its published slots. */
 	coldStartRampMilliseconds: number;
+	/** Text for readers; it has no effect. */
+	notes?: string;
 };
 
-const prioritiesPerRank = 128;
+/** Priorities that the requests of one worth rank are spread over. @public */
+export const prioritiesPerRank = 128;
+
+const {h32} = await xxhash();
 
 /**
  * Answers questions about the policy in force.
@@ -36,17 +43,17 @@
  * @public
  */
 export class PolicyRecord {
+	/** Shortest lifetime of all kinds. */
+	readonly shortestLifetimeMilliseconds: number;
 	private readonly kinds: Map<string, PolicyKind>;
-	private readonly ranks: Map<string, number>;
+	/** Lowest priority of each kind. */
+	private readonly lowestPriorities: Map<string, number>;
 
 	constructor(readonly content: PolicyContent) {
 		this.kinds = new Map(content.kinds.map(kind => [kind.name, kind]));
-		const worths = [...new Set(content.kinds.map(kind => kind.worth))].toSorted((first, second) => first - second);
-		this.ranks = new Map(content.kinds.map(kind => [kind.name, worths.indexOf(kind.worth) + 1]));
-	}
-
-	get shortestLifetimeMilliseconds(): number {
-		return Math.min(...this.content.kinds.map(kind => kind.lifetimeMilliseconds));
+		this.shortestLifetimeMilliseconds = Math.min(...content.kinds.map(kind => kind.lifetimeMilliseconds));
+		this.lowestPriorities = new Map(rankKinds(content.kinds).flatMap((names, index) =>
+			names.map(name => [name, (index + 1) * prioritiesPerRank])));
 	}
 
 	kind(name: string): PolicyKind | undefined {
@@ -58,7 +65,25 @@
 	 * shedding sheds the same requests at every depth.
 	 */
 	priorityOf(rootKind: string, rootIdentifier: string): number {
-		const position = createHash('sha1').update(rootIdentifier).digest().readUInt8(0) % prioritiesPerRank;
-		return ((this.ranks.get(rootKind) ?? 0) * prioritiesPerRank) + position;
+		return this.lowestPriorityOf(rootKind) + (h32(rootIdentifier) % prioritiesPerRank);
+	}
+
+	/** Lowest priority that a request of the root kind can have; the highest is `prioritiesPerRank - 1` above. */
+	lowestPriorityOf(rootKind: string): number {
+		return this.lowestPriorities.get(rootKind) ?? 0;
 	}
+
+	/** Worth rank of a kind: 1 is shed first, 0 is unknown. */
+	rankOf(kind: string): number {
+		return this.lowestPriorityOf(kind) / prioritiesPerRank;
+	}
+}
+
+/** Names of the kinds of equal worth, lowest rank first. Protected kinds rank above all others whatever their worth. */
+function rankKinds(kinds: readonly PolicyKind[]): string[][] {
+	return [false, true].flatMap(isProtected => {
+		const members = kinds.filter(kind => kind.protected === isProtected);
+		const worths = [...new Set(members.map(kind => kind.worth))].toSorted((first, second) => first - second);
+		return worths.map(worth => members.filter(kind => kind.worth === worth).map(kind => kind.name));
+	});
 }
