Close false statements and stuck entries in the operation table

Cause: a call that joined a run was not woken when the target declared that it did not run; expiry stopped at the first entry with a long lifetime; a request with another body was told did-not-run while the identity ran or still could; a full table told did-not-run to an identity issued by a clock ahead of the bound, and took it later; answers of entries that were removed while waiting for admission were counted for ever; a peer could hand over a share that is no integer. Change: each run has its own settled promise; entries are removed by second of expiry; a reused identity closes the generation or is told may-have-run; the watermark decides the verdict of a full table; answer headers count as bytes; generations and shares must be integers; ending or closing an entry in the wrong state throws.

--- a/packages/identity/src/lib/identity-authority.ts
+++ b/packages/identity/src/lib/identity-authority.ts
@@ -97,7 +97,7 @@
 }
 
 const textClaims = ['operation', 'service', 'kind', 'executor', 'executorAddress', 'incarnation', 'failureDomain'] as const;
-const numberClaims = ['issuedAt', 'expiresAt', 'generation'] as const;
+const timeClaims = ['issuedAt', 'expiresAt'] as const;
 
 function isIdentity(payload: unknown): payload is OperationIdentity {
 	if (typeof payload !== 'object' || payload === null) {
@@ -106,5 +106,6 @@
 
 	const claims = payload as Record<string, unknown>;
 	return textClaims.every(name => typeof claims[name] === 'string')
-		&& numberClaims.every(name => Number.isFinite(claims[name]));
+		&& timeClaims.every(name => Number.isFinite(claims[name]))
+		&& Number.isSafeInteger(claims.generation) && Number(claims.generation) >= 0;
 }
--- a/packages/identity/src/lib/retry-allowance.ts
+++ b/packages/identity/src/lib/retry-allowance.ts
@@ -14,7 +14,8 @@
 	private remainingRetries: number;
 
 	constructor(retries: number) {
-		this.remainingRetries = Math.max(0, Math.trunc(retries));
+		// The number may come from a peer's frame.
+		this.remainingRetries = Number.isSafeInteger(retries) ? Math.max(0, retries) : 0;
 	}
 
 	get remaining(): number {
--- a/packages/operations/src/lib/operation-table.ts
+++ b/packages/operations/src/lib/operation-table.ts
@@ -5,7 +5,7 @@
 	RefusalReason, Verdict, type RefusalReasonName, type VerdictName,
 } from '@hemlockthread/verdict';
 import type {OperationIdentity, ProcessClock} from '@hemlockthread/identity';
-import {Operation, OperationState} from './operation.js';
+import {Operation, OperationState, type OperationAnswer} from './operation.js';
 
 export type FrameHeadersLike = Record<string, string>;
 
@@ -48,6 +48,8 @@
 	= | {action: 'attempt' | 'join' | 'replay'; operation: Operation}
 		| {action: 'refuse'; verdict: VerdictName; reason: RefusalReasonName; operation?: Operation};
 
+const millisecondsPerSecond = 1000;
+
 /**
  * Holds the operations of one executor incarnation until they expire. Live entries are never evicted.
  *
@@ -55,6 +57,9 @@
  */
 export class OperationTable {
 	private readonly operations = new Map<string, Operation>();
+	/** Entries by the second of the process clock from which they may be removed; lifetimes differ between policies. */
+	private readonly removals = new Map<number, Operation[]>();
+	private sweptSecond: number;
 	private answerBytes = 0;
 	/** Unknown identities issued up to this time are refused; this incarnation never ran them. */
 	private refusedUpTo = Number.NEGATIVE_INFINITY;
@@ -66,6 +71,7 @@
 		private readonly options: OperationTableOptions = operationTableOptions,
 	) {
 		this.startedAt = clock.now();
+		this.sweptSecond = Math.floor(this.startedAt / millisecondsPerSecond);
 	}
 
 	get size(): number {
@@ -88,13 +94,16 @@
 	}
 
 	/** Records the answer of a run, or only its outcome where the answers held are at their limit. */
-	finish(operation: Operation, answer: {status: number; headers: FrameHeadersLike; body: Uint8Array}): void {
-		if (this.answerBytes + answer.body.byteLength > this.options.maximumAnswerBytes) {
+	finish(operation: Operation, answer: OperationAnswer): void {
+		const bytes = sizeOf(answer);
+		// An entry that expired while its call waited for admission is no longer held, so nobody can ask for its answer.
+		const held = this.operations.get(operation.identity.operation) === operation;
+		if (!held || this.answerBytes + bytes > this.options.maximumAnswerBytes) {
 			operation.lose();
 			return;
 		}
 
-		this.answerBytes += answer.body.byteLength;
+		this.answerBytes += bytes;
 		operation.finish(answer);
 	}
 
@@ -104,7 +113,7 @@
 
 	private beginHeld(operation: Operation, request: OperationRequest): BeginResult {
 		if (operation.fingerprint !== request.fingerprint) {
-			return {action: 'refuse', verdict: Verdict.didNotRun, reason: RefusalReason.identityReused};
+			return refuseReused(operation);
 		}
 
 		if (operation.state === OperationState.running) {
@@ -136,17 +145,20 @@
 			return {action: 'refuse', verdict: Verdict.mayHaveRun, reason: RefusalReason.identityExpired};
 		}
 
+		// The incarnation already tells restarts apart. This is a second barrier, so it is lenient by the clock bound.
 		if (identity.issuedAt < this.startedAt - this.options.clockBoundMilliseconds) {
 			return {action: 'refuse', verdict: Verdict.mayHaveRun, reason: RefusalReason.executorRestarted};
 		}
 
-		if (identity.issuedAt <= this.refusedUpTo + this.options.clockBoundMilliseconds) {
+		if (this.isBelowWatermark(identity)) {
 			return {action: 'refuse', verdict: Verdict.didNotRun, reason: RefusalReason.operationTableFull};
 		}
 
 		if (this.operations.size >= this.options.maximumEntries) {
 			this.refusedUpTo = now;
-			return {action: 'refuse', verdict: Verdict.didNotRun, reason: RefusalReason.operationTableFull};
+			// An identity from a clock further ahead than the bound is above the watermark and may still be taken later.
+			const verdict = this.isBelowWatermark(identity) ? Verdict.didNotRun : Verdict.mayHaveRun;
+			return {action: 'refuse', verdict, reason: RefusalReason.operationTableFull};
 		}
 
 		const operation = new Operation(
@@ -155,10 +167,14 @@
 			identity.expiresAt + this.options.clockBoundMilliseconds,
 			request.retries,
 		);
-		this.operations.set(identity.operation, operation);
+		this.hold(operation);
 		return this.admitAttempt(operation);
 	}
 
+	private isBelowWatermark(identity: OperationIdentity): boolean {
+		return identity.issuedAt <= this.refusedUpTo + this.options.clockBoundMilliseconds;
+	}
+
 	private admitAttempt(operation: Operation): BeginResult {
 		if (operation.attempt()) {
 			return {action: 'attempt', operation};
@@ -170,20 +186,71 @@
 		};
 	}
 
+	private hold(operation: Operation): void {
+		this.operations.set(operation.identity.operation, operation);
+		this.scheduleRemoval(operation, Math.ceil(operation.removeAt / millisecondsPerSecond));
+	}
+
+	private scheduleRemoval(operation: Operation, second: number): void {
+		const others = this.removals.get(second);
+		if (others === undefined) {
+			this.removals.set(second, [operation]);
+		} else {
+			others.push(operation);
+		}
+	}
+
 	private removeExpired(): void {
-		const now = this.clock.now();
-		for (const [key, operation] of this.operations) {
-			if (operation.removeAt > now) {
-				// Entries are in order of arrival and lifetimes are alike, so the rest is younger.
-				return;
+		const second = Math.floor(this.clock.now() / millisecondsPerSecond);
+		if (second <= this.sweptSecond) {
+			return;
+		}
+
+		this.sweptSecond = second;
+		for (const [dueSecond, due] of this.removals) {
+			if (dueSecond > second) {
+				continue;
 			}
 
-			if (operation.state === OperationState.running) {
-				return;
+			this.removals.delete(dueSecond);
+			for (const operation of due) {
+				this.remove(operation, second);
 			}
+		}
+	}
 
-			this.answerBytes -= operation.answer?.body.byteLength ?? 0;
-			this.operations.delete(key);
+	private remove(operation: Operation, second: number): void {
+		if (operation.state === OperationState.running) {
+			this.scheduleRemoval(operation, second + 1);
+			return;
 		}
+
+		this.answerBytes -= operation.answer === undefined ? 0 : sizeOf(operation.answer);
+		this.operations.delete(operation.identity.operation);
+	}
+}
+
+/**
+ * Refuses another request under the identity of a held operation. Callers read `did-not-run` as a statement about the
+ * identity, so it is given only where no request with this identity ran, and closes what may still be under way.
+ */
+function refuseReused(operation: Operation): BeginResult {
+	const reason = RefusalReason.identityReused;
+	if (operation.state !== OperationState.open) {
+		return {action: 'refuse', verdict: Verdict.mayHaveRun, reason};
 	}
+
+	operation.closeGeneration();
+	return {
+		action: 'refuse', verdict: Verdict.didNotRun, reason, operation,
+	};
+}
+
+function sizeOf(answer: OperationAnswer): number {
+	let bytes = answer.body.byteLength;
+	for (const [name, value] of Object.entries(answer.headers)) {
+		bytes += name.length + value.length;
+	}
+
+	return bytes;
 }
--- a/packages/operations/src/lib/operation.ts
+++ b/packages/operations/src/lib/operation.ts
@@ -27,16 +27,14 @@
  * @public
  */
 export class Operation {
-	state: OperationStateName = OperationState.open;
-	generation: number;
 	answer: OperationAnswer | undefined;
 	/** Retries that the operation may still cause below this node, over all attempts of the caller. */
 	readonly allowance: RetryAllowance | undefined;
-	/** Settles when the run ends, for callers that ask again meanwhile. */
-	readonly settled: Promise<void>;
 
+	private currentState: OperationStateName = OperationState.open;
+	private currentGeneration: number;
 	private admissions = 0;
-	private settle!: () => void;
+	private run = beginRun();
 
 	constructor(
 		readonly identity: OperationIdentity,
@@ -44,11 +42,21 @@
 		readonly removeAt: number,
 		retries: number | undefined,
 	) {
-		this.generation = identity.generation;
+		this.currentGeneration = identity.generation;
 		this.allowance = retries === undefined ? undefined : new RetryAllowance(retries);
-		this.settled = new Promise(resolve => {
-			this.settle = resolve;
-		});
+	}
+
+	get state(): OperationStateName {
+		return this.currentState;
+	}
+
+	get generation(): number {
+		return this.currentGeneration;
+	}
+
+	/** Settles when the run in progress ends, whatever its outcome. */
+	get settled(): Promise<void> {
+		return this.run.promise;
 	}
 
 	/** Counts an attempt that reaches admission; each after the first takes one retry. */
@@ -59,35 +67,57 @@
 
 	/** Marks the operation as sent to the target; returns false when the generation was closed or it already ran. */
 	start(generation: number): boolean {
-		if (this.state !== OperationState.open || generation !== this.generation) {
+		if (this.currentState !== OperationState.open || generation !== this.currentGeneration) {
 			return false;
 		}
 
-		this.state = OperationState.running;
+		this.currentState = OperationState.running;
 		return true;
 	}
 
 	finish(answer: OperationAnswer): void {
-		this.state = OperationState.done;
+		this.endRun(OperationState.done);
 		this.answer = answer;
-		this.settle();
 	}
 
 	/** The outcome at the target can't be known any more. */
 	lose(): void {
-		this.state = OperationState.unknown;
-		this.settle();
+		this.endRun(OperationState.unknown);
 	}
 
-	/** The target declared that it did not run the operation, so another attempt may. */
+	/** The target declared that it did not run the operation, so another attempt may, under a new generation. */
 	reopen(): void {
-		this.state = OperationState.open;
-		this.generation += 1;
+		this.endRun(OperationState.open);
+		this.currentGeneration += 1;
 	}
 
 	/** Closes all generations up to now, so that frames still under way can't run after a refusal. */
 	closeGeneration(): number {
-		this.generation += 1;
-		return this.generation;
+		if (this.currentState !== OperationState.open) {
+			throw new RangeError(`generation of an operation in state ${this.currentState} can't be closed`);
+		}
+
+		this.currentGeneration += 1;
+		return this.currentGeneration;
 	}
+
+	private endRun(state: OperationStateName): void {
+		if (this.currentState !== OperationState.running) {
+			throw new RangeError(`operation in state ${this.currentState} has no run to end`);
+		}
+
+		this.currentState = state;
+		this.run.settle();
+		this.run = beginRun();
+	}
+}
+
+type Run = {promise: Promise<void>; settle(): void};
+
+function beginRun(): Run {
+	let settle!: () => void;
+	const promise = new Promise<void>(resolve => {
+		settle = resolve;
+	});
+	return {promise, settle};
 }
