Make verdicts of nodes truthful and their rules reachable without sockets

Cause: an entry node told did-not-run for an identified call when its own attempt failed before it was sent, though earlier attempts may have run; so did nodes without policy, without the kind, or with other identity keys. A retried reversible call that ran out of retries gave the verdict of its last attempt only. An executor whose policy did not know a kind as irreversible ran identified calls without the table. A leg that waited for its identity while the parent was refused was counted as not run, and could start after the refusal. Calls that were cancelled before admission still ran when executed locally. A target that works on an ended call had its legs attached to another call. Conclusion: the searched classes are the ones that the node runs.

--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,4 +1,20 @@
 /**
- * The node process that runs beside each target instance.
+ * The node process that runs beside each target instance, and the managers that decide outcomes.
  */
 export {startNode, type RunningNode} from './lib/start-node.js';
+export {CallExecutor} from './lib/call-executor.js';
+export {CallForwarder, forwarderOptions, type MintResult} from './lib/call-forwarder.js';
+export {
+	CallInProgress, CallRegistry, callRegistryOptions, type Leg,
+} from './lib/call-registry.js';
+export {
+	refusal, type Call, type CallMessage, type CallResult,
+} from './lib/call.js';
+export {
+	processTiming, type Admitter, type Counter, type FleetLookup, type NodeTiming, type PeerDirectory, type PeerLink, type PolicySource,
+	type SelfView, type TargetChooser, type TargetSender,
+} from './lib/collaborators.js';
+export {DownstreamCalls, type DownstreamCall} from './lib/downstream-calls.js';
+export {NodePeerHandlers} from './lib/peer-handlers.js';
+export {RootCalls, type RootCall} from './lib/root-calls.js';
+export {type TargetAnswer} from './lib/target-client.js';
--- a/packages/node/src/lib/call-executor.ts
+++ b/packages/node/src/lib/call-executor.ts
@@ -2,17 +2,17 @@
  * Runs calls at the target beside this node: operation table, admission, target, verdict.
  */
 import {createHash} from 'node:crypto';
-import {performance} from 'node:perf_hooks';
-import type {AdmissionController} from '@hemlockthread/admission';
-import type {IdentityAuthority} from '@hemlockthread/identity';
+import type {IdentityAuthority, OperationIdentity} from '@hemlockthread/identity';
 import {OperationState, type Operation, type OperationTable} from '@hemlockthread/operations';
-import type {Metrics} from '@hemlockthread/telemetry';
-import {RefusalReason, Verdict, composeVerdicts} from '@hemlockthread/verdict';
+import {
+	RefusalReason, Verdict, composeVerdicts, type RefusalReasonName,
+} from '@hemlockthread/verdict';
 import type {CallInProgress, CallRegistry} from './call-registry.js';
 import {refusal, type Call, type CallResult} from './call.js';
-import type {NodeIdentity} from './node-identity.js';
-import type {PolicyInForce} from './policy-in-force.js';
-import type {TargetAnswer, TargetClient} from './target-client.js';
+import {
+	processTiming, type Admitter, type Counter, type NodeTiming, type PolicySource, type SelfView, type TargetSender,
+} from './collaborators.js';
+import type {TargetAnswer} from './target-client.js';
 
 /** Returns false when the call may no longer start. */
 type StartGate = () => boolean;
@@ -27,40 +27,62 @@
  */
 export class CallExecutor {
 	constructor(
-		private readonly self: NodeIdentity,
-		private readonly policy: PolicyInForce,
-		private readonly admission: AdmissionController,
+		private readonly self: SelfView,
+		private readonly policy: PolicySource,
+		private readonly admission: Admitter,
 		private readonly operations: OperationTable,
 		private readonly registry: CallRegistry,
 		private readonly authority: IdentityAuthority,
-		private readonly target: TargetClient,
-		private readonly metrics: Metrics,
+		private readonly target: TargetSender,
+		private readonly metrics: Counter,
+		private readonly timing: NodeTiming = processTiming,
 	) {}
 
 	/** Executes a call; never throws. */
 	async execute(call: Call): Promise<CallResult> {
+		const result = await this.dispatch(call);
+		this.metrics.count('call.executed', {verdict: result.verdict, reason: result.reason ?? 'none'});
+		return result;
+	}
+
+	private async dispatch(call: Call): Promise<CallResult> {
 		const kind = this.policy.current?.kind(call.kind);
-		if (kind === undefined) {
-			return refusal(Verdict.didNotRun, this.policy.current === undefined ? RefusalReason.notReady : RefusalReason.unknownKind);
+		if (call.identity !== undefined) {
+			// The policy here may be older or newer than that of the entry node; a call with an identity is never repeatable.
+			return this.executeIrreversible(call, call.identity.claims, kind?.retries);
 		}
 
-		if (call.service !== this.self.service) {
-			return refusal(Verdict.didNotRun, RefusalReason.unknownService);
+		const refused = this.refusalOf(call);
+		if (refused !== undefined) {
+			return refusal(Verdict.didNotRun, refused);
 		}
 
-		const result = kind.irreversible
-			? await this.executeIrreversible(call, call.depth === firstDepth ? kind.retries : undefined)
-			: await this.attempt(call, alwaysStart);
-		this.metrics.count('call.executed', {verdict: result.verdict, reason: result.reason ?? 'none'});
-		return result;
+		return kind?.irreversible === true
+			? refusal(Verdict.didNotRun, RefusalReason.identityInvalid)
+			: this.attempt(call, alwaysStart);
+	}
+
+	/** Why this node can't take a call, whatever its load. */
+	private refusalOf(call: Call): RefusalReasonName | undefined {
+		const {current} = this.policy;
+		if (current === undefined) {
+			return RefusalReason.notReady;
+		}
+
+		if (current.kind(call.kind) === undefined) {
+			return RefusalReason.unknownKind;
+		}
+
+		return call.service === this.self.service ? undefined : RefusalReason.unknownService;
 	}
 
-	private async executeIrreversible(call: Call, retries: number | undefined): Promise<CallResult> {
-		const claims = call.identity?.claims;
-		if (claims?.kind !== call.kind || claims.service !== call.service) {
-			return refusal(Verdict.didNotRun, RefusalReason.identityInvalid);
+	private async executeIrreversible(call: Call, claims: OperationIdentity, kindRetries: number | undefined): Promise<CallResult> {
+		if (claims.kind !== call.kind || claims.service !== call.service) {
+			// The identity may have run as what it was minted for.
+			return refusal(Verdict.mayHaveRun, RefusalReason.identityInvalid);
 		}
 
+		const retries = call.depth === firstDepth ? kindRetries ?? 0 : undefined;
 		const begun = this.operations.begin({identity: claims, fingerprint: fingerprint(call), retries});
 		if (begun.action === 'refuse') {
 			return refusal(begun.verdict, begun.reason, begun.operation === undefined ? {} : {nextIdentity: this.renew(begun.operation)});
@@ -76,10 +98,13 @@
 
 	private async attemptOperation(operation: Operation, call: Call, generation: number): Promise<CallResult> {
 		let started = false;
-		const result = await this.attempt({...call, allowance: operation.allowance ?? call.allowance}, () => {
-			started = operation.start(generation);
-			return started;
-		});
+		const refused = this.refusalOf(call);
+		const result = refused === undefined
+			? await this.attempt({...call, allowance: operation.allowance ?? call.allowance}, () => {
+				started = operation.start(generation);
+				return started;
+			})
+			: refusal(Verdict.didNotRun, refused);
 		if (!started) {
 			if (operation.state !== OperationState.open) {
 				// The same operation was sent twice and the other one started first.
@@ -104,9 +129,12 @@
 		return {...result, nextIdentity: this.renew(operation)};
 	}
 
-	/** Waits for the run in progress and gives its answer. */
+	/** Waits for the run in progress and gives its outcome. */
 	private async join(operation: Operation, call: Call): Promise<CallResult> {
-		await settledWithin(operation.settled, call);
+		while (operation.state === OperationState.running && !this.isOver(call)) {
+			await this.settledInTime(operation, call);
+		}
+
 		if (operation.answer !== undefined) {
 			const {status, headers, body} = operation.answer;
 			return {
@@ -114,8 +142,33 @@
 			};
 		}
 
-		const reason = operation.state === OperationState.unknown ? RefusalReason.outcomeUnknown : RefusalReason.deadlineExceeded;
-		return refusal(Verdict.mayHaveRun, reason);
+		if (operation.state === OperationState.open) {
+			operation.closeGeneration();
+			return refusal(Verdict.didNotRun, RefusalReason.identitySuperseded, {nextIdentity: this.renew(operation)});
+		}
+
+		if (operation.state === OperationState.unknown) {
+			return refusal(Verdict.mayHaveRun, RefusalReason.outcomeUnknown);
+		}
+
+		return refusal(Verdict.mayHaveRun, call.signal.aborted ? RefusalReason.cancelled : RefusalReason.deadlineExceeded);
+	}
+
+	/** Waits for the end of the run, the deadline or the cancellation, whichever comes first. */
+	private async settledInTime(operation: Operation, call: Call): Promise<void> {
+		const waiting = new AbortController();
+		try {
+			await Promise.race([
+				operation.settled,
+				this.timing.wait(call.deadlineAt - this.timing.now(), AbortSignal.any([call.signal, waiting.signal])),
+			]);
+		} finally {
+			waiting.abort();
+		}
+	}
+
+	private isOver(call: Call): boolean {
+		return call.signal.aborted || this.timing.now() >= call.deadlineAt;
 	}
 
 	/** Passes the call through admission to the target. */
@@ -124,8 +177,9 @@
 			return refusal(Verdict.didNotRun, RefusalReason.leaving);
 		}
 
-		if (performance.now() >= call.deadlineAt) {
-			return refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded);
+		const ended = this.refusalOfEnded(call);
+		if (ended !== undefined) {
+			return ended;
 		}
 
 		const admission = await this.admission.admit({
@@ -137,14 +191,27 @@
 			});
 		}
 
-		const result = await this.runAtTarget(call, startGate);
-		admission.release(result.verdict === Verdict.ran ? 'ok' : (call.signal.aborted ? 'abandoned' : 'failed'));
-		return {...result, level: Math.max(result.level, this.admission.level)};
+		let result: CallResult | undefined;
+		try {
+			result = await this.runAtTarget(call, startGate);
+			return {...result, level: Math.max(result.level, this.admission.level)};
+		} finally {
+			admission.release(result?.verdict === Verdict.ran ? 'ok' : (call.signal.aborted ? 'abandoned' : 'failed'));
+		}
+	}
+
+	private refusalOfEnded(call: Call): CallResult | undefined {
+		if (call.signal.aborted) {
+			return refusal(Verdict.didNotRun, RefusalReason.cancelled);
+		}
+
+		return this.isOver(call) ? refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded) : undefined;
 	}
 
 	private async runAtTarget(call: Call, startGate: StartGate): Promise<CallResult> {
-		if (performance.now() >= call.deadlineAt) {
-			return refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded);
+		const ended = this.refusalOfEnded(call);
+		if (ended !== undefined) {
+			return ended;
 		}
 
 		const inProgress = this.registry.begin(call, call.allowance);
@@ -152,19 +219,30 @@
 			return refusal(Verdict.didNotRun, RefusalReason.tooManyCalls);
 		}
 
+		let answered = true;
 		try {
 			if (!startGate()) {
 				return refusal(Verdict.didNotRun, RefusalReason.identitySuperseded);
 			}
 
-			const answer = await this.target.send(call, inProgress);
+			const answer = await this.sendToTarget(call, inProgress);
+			answered = answer.verdict !== Verdict.mayHaveRun;
 			if (answer.leaving) {
 				this.self.leave();
 			}
 
 			return judge(answer, inProgress);
 		} finally {
-			this.registry.end(inProgress);
+			this.registry.end(inProgress, answered);
+		}
+	}
+
+	private async sendToTarget(call: Call, inProgress: CallInProgress): Promise<TargetAnswer> {
+		try {
+			return await this.target.send(call, inProgress);
+		} catch {
+			// An HTTP client can throw on a malformed path or header; what it sent before is unknown.
+			return {...refusal(Verdict.mayHaveRun, RefusalReason.targetFailed), leaving: false};
 		}
 	}
 
@@ -192,20 +270,3 @@
 		.update(call.message.body)
 		.digest('base64url');
 }
-
-/** Waits for the run to end, the deadline or the cancellation, whichever comes first. */
-async function settledWithin(settled: Promise<void>, call: Call): Promise<void> {
-	await new Promise<void>(resolve => {
-		const timer = setTimeout(resolve, Math.max(0, call.deadlineAt - performance.now()));
-		const finish = () => {
-			clearTimeout(timer);
-			resolve();
-		};
-
-		call.signal.addEventListener('abort', finish, {once: true});
-		void (async () => {
-			await settled;
-			finish();
-		})();
-	});
-}
--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -1,21 +1,19 @@
 /**
  * Forwards calls to a target instance of another service: choice, retries, re-routing and identities.
  */
-import {performance} from 'node:perf_hooks';
-import {setTimeout as delay} from 'node:timers/promises';
 import type {IdentityAuthority, ProcessClock} from '@hemlockthread/identity';
-import type {FleetInstance, FleetView} from '@hemlockthread/membership';
-import type {Candidate, TargetSelector} from '@hemlockthread/routing';
-import type {Metrics} from '@hemlockthread/telemetry';
+import type {FleetInstance} from '@hemlockthread/membership';
+import type {Candidate} from '@hemlockthread/routing';
 import {
 	CallError, RefusalReason, Verdict, refusalRules, type RefusalReasonName,
 } from '@hemlockthread/verdict';
-import type {AnswerFrame, PeerConnection} from '@hemlockthread/wire';
+import type {AnswerFrame} from '@hemlockthread/wire';
 import type {CallExecutor} from './call-executor.js';
 import {refusal, type Call, type CallResult} from './call.js';
-import type {NodeIdentity} from './node-identity.js';
-import type {PeerPool} from './peer-pool.js';
-import type {PolicyInForce} from './policy-in-force.js';
+import {
+	processTiming, type Counter, type FleetLookup, type NodeTiming, type PeerDirectory, type PeerLink, type PolicySource, type SelfView,
+	type TargetChooser,
+} from './collaborators.js';
 
 /** @public */
 export const forwarderOptions = {
@@ -52,15 +50,16 @@
  */
 export class CallForwarder {
 	constructor(
-		private readonly self: NodeIdentity,
-		private readonly policy: PolicyInForce,
-		private readonly fleet: FleetView,
-		private readonly selector: TargetSelector,
-		private readonly pool: PeerPool,
-		private readonly executor: CallExecutor,
+		private readonly self: SelfView,
+		private readonly policy: PolicySource,
+		private readonly fleet: FleetLookup,
+		private readonly selector: TargetChooser,
+		private readonly pool: PeerDirectory,
+		private readonly executor: Pick<CallExecutor, 'execute'>,
 		private readonly authority: IdentityAuthority,
 		private readonly clock: ProcessClock,
-		private readonly metrics: Metrics,
+		private readonly metrics: Counter,
+		private readonly timing: NodeTiming = processTiming,
 	) {}
 
 	/** Forwards a call that may run more than once, with retries out of the call's allowance. */
@@ -79,7 +78,7 @@
 			const result = await this.attempt({candidate, call});
 			mayHaveRun ||= result.verdict === Verdict.mayHaveRun;
 			if (!isRetryable(result) || this.isOver(call)) {
-				return mayHaveRun && result.verdict === Verdict.didNotRun ? {...result, verdict: Verdict.mayHaveRun} : result;
+				return withEarlier(mayHaveRun, result);
 			}
 
 			tried.add(candidate.instance.name);
@@ -91,31 +90,38 @@
 
 			if (!call.allowance.take()) {
 				this.metrics.count('call.retries-exhausted');
-				return result;
+				return withEarlier(mayHaveRun, result);
 			}
 
 			retries += 1;
 			this.metrics.count('call.retried');
-			await backOff(retries, call);
+			await this.backOff(retries, call);
 		}
 	}
 
-	/** Forwards an irreversible call to the executor that its identity names, and to no other. */
-	async forwardToExecutor(call: Call): Promise<CallResult> {
+	/**
+	 * Forwards an irreversible call to the executor that its identity names, and to no other. Only the executor knows what
+	 * earlier attempts did, so a failure on the way there is `may-have-run`, but for an identity that nothing was sent with.
+	 */
+	async forwardToExecutor(call: Call, freshIdentity = false): Promise<CallResult> {
 		const {claims} = call.identity!;
 		const instance = this.fleet.instance(claims.executor) ?? executorOf(call);
+		let sent = !freshIdentity;
 		for (let repeats = 0; ; repeats += 1) {
 			const result = await this.attempt({candidate: this.selector.begin(instance, call.rootKind), call});
+			if (result.unsent !== true) {
+				sent = true;
+			}
+
 			if (result.reason !== RefusalReason.connectionLost) {
-				return result;
+				return sent && result.unsent === true ? {...result, verdict: Verdict.mayHaveRun} : result;
 			}
 
 			if (repeats >= forwarderOptions.maximumExecutorRepeats || this.isOver(call)) {
-				// Earlier attempts through other nodes may have reached the executor.
-				return {...result, verdict: Verdict.mayHaveRun, reason: RefusalReason.executorUnreachable};
+				return {...result, verdict: sent ? Verdict.mayHaveRun : Verdict.didNotRun, reason: RefusalReason.executorUnreachable};
 			}
 
-			await backOff(repeats + 1, call);
+			await this.backOff(repeats + 1, call);
 		}
 	}
 
@@ -169,33 +175,32 @@
 	}
 
 	private async attempt({candidate, call}: Attempt): Promise<CallResult> {
-		const startedAt = performance.now();
+		const startedAt = this.timing.now();
 		const result = candidate.instance.name === this.self.instance
 			? await this.executor.execute(call)
 			: await this.sendToPeer(candidate.instance, call);
 		const outcome = result.verdict === Verdict.ran ? 'answered' : (result.verdict === Verdict.didNotRun ? 'refused' : 'failed');
-		candidate.finish(outcome, performance.now() - startedAt, result.level);
+		candidate.finish(outcome, this.timing.now() - startedAt, result.level);
 		return result;
 	}
 
 	private async sendToPeer(instance: FleetInstance, call: Call): Promise<CallResult> {
-		let peer: PeerConnection;
+		let peer: PeerLink;
 		try {
 			peer = await this.pool.connect(instance.peerAddress);
 		} catch {
-			return refusal(Verdict.didNotRun, RefusalReason.connectionLost);
+			return unsent(RefusalReason.connectionLost);
 		}
 
-		const remainingMilliseconds = call.deadlineAt - performance.now();
+		const remainingMilliseconds = call.deadlineAt - this.timing.now();
 		if (remainingMilliseconds <= 0) {
-			return refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded);
+			return unsent(RefusalReason.deadlineExceeded);
 		}
 
 		const share = call.allowance.split();
 		const deadline = new AbortController();
-		const timer = setTimeout(() => {
-			deadline.abort();
-		}, remainingMilliseconds + forwarderOptions.answerGraceMilliseconds);
+		const answered = new AbortController();
+		void this.abortAfter(remainingMilliseconds + forwarderOptions.answerGraceMilliseconds, deadline, answered.signal);
 		try {
 			const answer = await peer.call({
 				service: call.service, kind: call.kind, rootKind: call.rootKind, rootIdentifier: call.rootIdentifier,
@@ -206,19 +211,37 @@
 			call.allowance.giveBack(share, answer.retriesReturned);
 			return toResult(answer);
 		} catch (error) {
-			return toFailure(error, deadline.signal);
+			const failure = toFailure(error, deadline.signal);
+			if (failure.unsent === true) {
+				call.allowance.giveBack(share, share);
+			}
+
+			return failure;
 		} finally {
-			clearTimeout(timer);
+			answered.abort();
 		}
 	}
 
+	private async abortAfter(milliseconds: number, controller: AbortController, cancelled: AbortSignal): Promise<void> {
+		await this.timing.wait(milliseconds, cancelled);
+		if (!cancelled.aborted) {
+			controller.abort();
+		}
+	}
+
+	private async backOff(retry: number, call: Call): Promise<void> {
+		const ceiling = Math.min(forwarderOptions.maximumBackoffMilliseconds, forwarderOptions.backoffMilliseconds * (2 ** (retry - 1)));
+		const wait = Math.min(this.timing.random() * ceiling, Math.max(0, call.deadlineAt - this.timing.now()));
+		await this.timing.wait(wait, call.signal);
+	}
+
 	private unchosen(service: string, why: 'overloaded' | 'no-target', mayHaveRun: boolean): CallResult {
 		const reason = why === 'no-target' && !this.fleet.hasService(service) ? RefusalReason.unknownService : why;
 		return refusal(mayHaveRun ? Verdict.mayHaveRun : Verdict.didNotRun, reason, {retryAfterMilliseconds: 1000});
 	}
 
 	private isOver(call: Call): boolean {
-		return call.signal.aborted || performance.now() >= call.deadlineAt;
+		return call.signal.aborted || this.timing.now() >= call.deadlineAt;
 	}
 }
 
@@ -230,14 +253,14 @@
 	return result.verdict === Verdict.didNotRun && result.reason !== undefined && refusalRules[result.reason].reroutable;
 }
 
-async function backOff(retry: number, call: Call): Promise<void> {
-	const ceiling = Math.min(forwarderOptions.maximumBackoffMilliseconds, forwarderOptions.backoffMilliseconds * (2 ** (retry - 1)));
-	const wait = Math.min(Math.random() * ceiling, Math.max(0, call.deadlineAt - performance.now()));
-	try {
-		await delay(wait, undefined, {signal: call.signal});
-	} catch {
-		// Cancelled while waiting; the loop's own check ends the call.
-	}
+/** A retried call is `did-not-run` only if no earlier attempt may have run. */
+function withEarlier(mayHaveRun: boolean, result: CallResult): CallResult {
+	return mayHaveRun && result.verdict === Verdict.didNotRun ? {...result, verdict: Verdict.mayHaveRun} : result;
+}
+
+/** A failure of this node before anything left for the peer. */
+function unsent(reason: RefusalReasonName): CallResult {
+	return {...refusal(Verdict.didNotRun, reason), unsent: true};
 }
 
 /** The executor as its identity describes it, for an instance that the fleet list does not show. */
@@ -261,5 +284,6 @@
 		return refusal(Verdict.mayHaveRun, RefusalReason.connectionLost);
 	}
 
-	return refusal(error.verdict, deadline.aborted ? RefusalReason.deadlineExceeded : error.reason);
+	const reason = deadline.aborted ? RefusalReason.deadlineExceeded : error.reason;
+	return error.verdict === Verdict.didNotRun ? unsent(reason) : refusal(error.verdict, reason);
 }
--- a/packages/node/src/lib/call-registry.ts
+++ b/packages/node/src/lib/call-registry.ts
@@ -22,7 +22,12 @@
 export type Leg = {
 	irreversible: boolean;
 	attempts: number;
+	/** What is certain about all attempts together; `may-have-run` while one is under way. */
 	verdict: VerdictName;
+	/** Attempts of a reversible leg that have no result yet. */
+	underWay: number;
+	/** True once an attempt of a reversible leg ended other than with `did-not-run`. */
+	mayHaveRun: boolean;
 	/** Identity of an irreversible leg; replaced only after a certain `did-not-run`. */
 	identity?: Call['identity'];
 	/** The last finished result, replayed for an irreversible leg that ran. */
@@ -54,7 +59,9 @@
 			return undefined;
 		}
 
-		const leg: Leg = {irreversible, attempts: 0, verdict: Verdict.didNotRun};
+		const leg: Leg = {
+			irreversible, attempts: 0, verdict: Verdict.didNotRun, underWay: 0, mayHaveRun: false,
+		};
 		this.legs.set(key, leg);
 		return leg;
 	}
@@ -76,6 +83,7 @@
  */
 export class CallRegistry {
 	private readonly calls = new Map<string, CallInProgress>();
+	private abandoned = false;
 
 	get size(): number {
 		return this.calls.size;
@@ -92,7 +100,9 @@
 		return inProgress;
 	}
 
-	end(inProgress: CallInProgress): void {
+	/** Ends a call. A target that has not answered may go on working on it, and making downstream calls for it. */
+	end(inProgress: CallInProgress, answered: boolean): void {
+		this.abandoned ||= !answered;
 		this.calls.delete(inProgress.reference);
 		inProgress.end();
 	}
@@ -101,9 +111,9 @@
 		return reference === undefined ? undefined : this.calls.get(reference);
 	}
 
-	/** The only call in progress, when there is exactly one. */
+	/** The only call that the target can be working on, when there is exactly one and none was ever abandoned. */
 	only(): CallInProgress | undefined {
-		return this.calls.size === 1 ? this.calls.values().next().value : undefined;
+		return this.calls.size === 1 && !this.abandoned ? this.calls.values().next().value : undefined;
 	}
 
 	dump(): unknown {
--- a/packages/node/src/lib/call.ts
+++ b/packages/node/src/lib/call.ts
@@ -56,6 +56,8 @@
 	level: number;
 	nextIdentity?: string;
 	retryAfterMilliseconds?: number;
+	/** True for a failure of the sending node before anything left for the peer. */
+	unsent?: true;
 };
 
 const emptyBody = new Uint8Array(0);
--- /dev/null
+++ b/packages/node/src/lib/collaborators.ts
@@ -0,0 +1,64 @@
+/**
+ * What the managers that decide outcomes need from the others. Real ones and in-memory fakes both fit, so that the rules
+ * can be searched without sockets and without waiting.
+ */
+import {performance} from 'node:perf_hooks';
+import {setTimeout as sleep} from 'node:timers/promises';
+import type {AdmissionController} from '@hemlockthread/admission';
+import type {FleetView} from '@hemlockthread/membership';
+import type {TargetSelector} from '@hemlockthread/routing';
+import type {Metrics} from '@hemlockthread/telemetry';
+import type {PeerConnection} from '@hemlockthread/wire';
+import type {NodeIdentity} from './node-identity.js';
+import type {PolicyInForce} from './policy-in-force.js';
+import type {TargetClient} from './target-client.js';
+
+/** @public */
+export type SelfView = Pick<NodeIdentity, 'instance' | 'service' | 'incarnation' | 'leaving' | 'leave'>;
+
+/** @public */
+export type PolicySource = Pick<PolicyInForce, 'current'>;
+
+/** @public */
+export type Admitter = Pick<AdmissionController, 'admit' | 'level'>;
+
+/** @public */
+export type TargetSender = Pick<TargetClient, 'send'>;
+
+/** @public */
+export type FleetLookup = Pick<FleetView, 'instance' | 'hasService'>;
+
+/** @public */
+export type TargetChooser = Pick<TargetSelector, 'choose' | 'begin'>;
+
+/** @public */
+export type PeerLink = Pick<PeerConnection, 'call' | 'remote' | 'remoteLeaving'>;
+
+/** @public */
+export type PeerDirectory = {connect(address: string): Promise<PeerLink>};
+
+/** @public */
+export type Counter = Pick<Metrics, 'count'>;
+
+/** Monotonic time, waits and jitter of one process. @public */
+export type NodeTiming = {
+	/** Monotonic time in milliseconds; only differences have a meaning. */
+	now(): number;
+	/** Settles after the wait or when the signal is aborted, whichever comes first. */
+	wait(milliseconds: number, signal: AbortSignal): Promise<void>;
+	/** A number from 0 up to 1, for jitter. */
+	random(): number;
+};
+
+/** @public */
+export const processTiming: NodeTiming = {
+	now: () => performance.now(),
+	async wait(milliseconds, signal) {
+		try {
+			await sleep(Math.max(0, milliseconds), undefined, {signal});
+		} catch {
+			// Aborted, which ends the wait.
+		}
+	},
+	random: Math.random,
+};
--- /dev/null
+++ b/packages/node/src/lib/downstream-calls.ts
@@ -0,0 +1,189 @@
+/**
+ * The rules for downstream calls of the own target: which call in progress they belong to, what a repeated leg is, and
+ * what they may cost.
+ */
+import {createHash, randomUUID} from 'node:crypto';
+import {RetryAllowance} from '@hemlockthread/identity';
+import type {PolicyKind} from '@hemlockthread/policy';
+import {RefusalReason, Verdict, type RefusalReasonName} from '@hemlockthread/verdict';
+import type {CallForwarder} from './call-forwarder.js';
+import {
+	callRegistryOptions, type CallInProgress, type CallRegistry, type Leg,
+} from './call-registry.js';
+import {
+	refusal, type Call, type CallMessage, type CallResult,
+} from './call.js';
+import {
+	processTiming, type Counter, type NodeTiming, type PolicySource,
+} from './collaborators.js';
+
+/** A downstream call as the target sent it. @public */
+export type DownstreamCall = {
+	service: string;
+	kind: string;
+	message: CallMessage;
+	/** Reference to the call in progress, as the target copied it. */
+	context: string | undefined;
+	traceParent: string | undefined;
+	/** Tells apart legs that are alike. */
+	step: string | undefined;
+	/** Aborted when the target closes its connection. */
+	signal: AbortSignal;
+};
+
+const refusedNow = (reason: RefusalReasonName) => refusal(Verdict.didNotRun, reason);
+const traceReference = /^[\da-f]{2}-(?<reference>[\da-f]{32})-/v;
+const lowestPriority = 0;
+
+/**
+ * Runs the downstream calls of the own target.
+ *
+ * @public
+ */
+export class DownstreamCalls {
+	constructor(
+		private readonly policy: PolicySource,
+		private readonly forwarder: Pick<CallForwarder, 'forward' | 'forwardToExecutor' | 'mint'>,
+		private readonly registry: CallRegistry,
+		private readonly metrics: Counter,
+		private readonly timing: NodeTiming = processTiming,
+	) {}
+
+	async call(request: DownstreamCall): Promise<CallResult> {
+		const {service, message} = request;
+		const kind = this.policy.current?.kind(request.kind);
+		if (kind === undefined) {
+			return refusedNow(this.policy.current === undefined ? RefusalReason.notReady : RefusalReason.unknownKind);
+		}
+
+		const parent = this.parentOf(request, kind);
+		if (parent === undefined && request.context !== undefined) {
+			// The call that the reference names has ended, so nobody waits for this leg and no account can pay for it.
+			this.metrics.count('call.parent-ended');
+			return refusedNow(RefusalReason.contextMissing);
+		}
+
+		if (parent === undefined) {
+			return this.callDetached(service, kind, message, request.signal);
+		}
+
+		if (parent.call.depth >= callRegistryOptions.maximumDepth) {
+			return refusedNow(RefusalReason.tooDeep);
+		}
+
+		if (kind.irreversible && parent.call.identity === undefined) {
+			// A parent that may run twice would run the leg twice, each time under an identity of its own.
+			return refusedNow(RefusalReason.parentReversible);
+		}
+
+		const leg = parent.leg(legKey(request), kind.irreversible);
+		if (leg === undefined) {
+			return refusedNow(RefusalReason.tooManyCalls);
+		}
+
+		const call: Call = {
+			...parent.call, service, kind: kind.name, depth: parent.call.depth + 1, message, allowance: parent.allowance,
+			identity: undefined, signal: AbortSignal.any([parent.signal, request.signal]),
+		};
+		const result = kind.irreversible ? await this.callIrreversibleLeg(leg, call) : await this.callLeg(leg, call);
+		parent.subtreeLevel = Math.max(parent.subtreeLevel, result.level);
+		return result;
+	}
+
+	/** Finds the call in progress that a downstream call belongs to. */
+	private parentOf({context, traceParent}: DownstreamCall, kind: PolicyKind): CallInProgress | undefined {
+		const traced = traceReference.exec(traceParent ?? '')?.groups?.reference;
+		const parent = this.registry.lookUp(context) ?? this.registry.lookUp(traced);
+		if (parent !== undefined) {
+			return parent;
+		}
+
+		if (context !== undefined) {
+			return undefined;
+		}
+
+		// An irreversible leg is never attached on a guess: the target may still work on a call that it was given earlier.
+		const only = kind.irreversible ? undefined : this.registry.only();
+		this.metrics.count(only === undefined ? 'call.detached' : 'call.attached');
+		return only;
+	}
+
+	/** A call without a known parent gets no retries, the lowest priority and the shortest lifetime. */
+	private async callDetached(service: string, kind: PolicyKind, message: CallMessage, signal: AbortSignal): Promise<CallResult> {
+		if (kind.irreversible) {
+			return refusedNow(RefusalReason.contextMissing);
+		}
+
+		return this.forwarder.forward({
+			service, kind: kind.name, rootKind: kind.name, rootIdentifier: randomUUID(), priority: lowestPriority,
+			deadlineAt: this.timing.now() + this.policy.current!.shortestLifetimeMilliseconds,
+			depth: callRegistryOptions.maximumDepth, message, allowance: new RetryAllowance(0), signal,
+		});
+	}
+
+	private async callLeg(leg: Leg, call: Call): Promise<CallResult> {
+		if (leg.attempts > 0 && !call.allowance.take()) {
+			this.metrics.count('call.retries-exhausted');
+			return refusal(leg.verdict, RefusalReason.retriesExhausted);
+		}
+
+		leg.attempts += 1;
+		leg.underWay += 1;
+		leg.verdict = Verdict.mayHaveRun;
+		const result = await this.forwarder.forward(call);
+		leg.underWay -= 1;
+		leg.mayHaveRun ||= result.verdict !== Verdict.didNotRun;
+		leg.verdict = leg.mayHaveRun || leg.underWay > 0 ? Verdict.mayHaveRun : Verdict.didNotRun;
+		return result.verdict === Verdict.didNotRun ? {...result, verdict: leg.verdict} : result;
+	}
+
+	/** The same leg of the same parent is the same operation: it joins, replays or repeats under one identity. */
+	private async callIrreversibleLeg(leg: Leg, call: Call): Promise<CallResult> {
+		if (leg.running !== undefined) {
+			return leg.running;
+		}
+
+		if (leg.result?.verdict === Verdict.ran) {
+			return leg.result;
+		}
+
+		if (leg.attempts > 0 && !call.allowance.take()) {
+			this.metrics.count('call.retries-exhausted');
+			return refusal(leg.verdict, RefusalReason.retriesExhausted);
+		}
+
+		leg.attempts += 1;
+		leg.running = this.runIrreversibleLeg(leg, call);
+		try {
+			leg.result = await leg.running;
+			return leg.result;
+		} finally {
+			leg.running = undefined;
+		}
+	}
+
+	private async runIrreversibleLeg(leg: Leg, call: Call): Promise<CallResult> {
+		const fresh = leg.verdict === Verdict.didNotRun || leg.identity === undefined;
+		// From here on the parent can't be declared as not run until the outcome is known.
+		leg.verdict = Verdict.mayHaveRun;
+		if (fresh) {
+			// Nothing ran and the old generation is closed, so any executor may be named.
+			const minted = await this.forwarder.mint(call.service, call.kind, call.rootKind, call.priority);
+			if ('refused' in minted) {
+				leg.verdict = Verdict.didNotRun;
+				return refusedNow(minted.refused);
+			}
+
+			leg.identity = minted.identity;
+		}
+
+		const result = await this.forwarder.forwardToExecutor({...call, identity: leg.identity}, fresh);
+		leg.verdict = result.verdict;
+		return result;
+	}
+}
+
+function legKey({service, kind, message, step}: DownstreamCall): string {
+	const last = step === undefined ? createHash('sha256').update(message.body).digest('base64url') : `step ${step}`;
+	return [service, kind, message.method, message.path, last].join('\n');
+}
--- a/packages/node/src/lib/peer-handlers.ts
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -1,7 +1,6 @@
 /**
  * What this node does with the frames of its peers.
  */
-import {performance} from 'node:perf_hooks';
 import type {RecordDistributor} from '@hemlockthread/distribution';
 import {RetryAllowance, type IdentityAuthority} from '@hemlockthread/identity';
 import type {FleetView} from '@hemlockthread/membership';
@@ -12,6 +11,7 @@
 } from '@hemlockthread/wire';
 import type {CallExecutor} from './call-executor.js';
 import {refusal, type Call, type CallResult} from './call.js';
+import {processTiming, type NodeTiming} from './collaborators.js';
 
 /**
  * Connects the peer protocol with the managers of this node.
@@ -19,13 +19,14 @@
  * @public
  */
 export class NodePeerHandlers implements PeerHandlers {
-	executor!: CallExecutor;
+	executor!: Pick<CallExecutor, 'execute'>;
 
 	constructor(
-		private readonly distributor: RecordDistributor,
-		private readonly fleet: FleetView,
+		private readonly distributor: Pick<RecordDistributor, 'receive'>,
+		private readonly fleet: Pick<FleetView, 'noteJoined' | 'noteLeaving'>,
 		private readonly authority: IdentityAuthority,
-		private readonly logs: Logs,
+		private readonly logs: Pick<Logs, 'info'>,
+		private readonly timing: NodeTiming = processTiming,
 	) {}
 
 	async onRequest(request: IncomingRequest): Promise<AnswerBody> {
@@ -33,12 +34,13 @@
 		const allowance = new RetryAllowance(frame.retryShare);
 		const identity = this.readIdentity(frame.identity);
 		if (identity === false) {
-			return toAnswer(refusal(Verdict.didNotRun, RefusalReason.identityInvalid), allowance);
+			// A node with other keys may have accepted the same token.
+			return toAnswer(refusal(Verdict.mayHaveRun, RefusalReason.identityInvalid), allowance);
 		}
 
 		const call: Call = {
 			service: frame.service, kind: frame.kind, rootKind: frame.rootKind, rootIdentifier: frame.rootIdentifier,
-			priority: frame.priority, deadlineAt: performance.now() + frame.remainingMilliseconds - request.ageMilliseconds,
+			priority: frame.priority, deadlineAt: this.timing.now() + frame.remainingMilliseconds - request.ageMilliseconds,
 			depth: frame.depth, message: {
 				method: frame.method, path: frame.path, headers: frame.headers, body: frame.body,
 			}, allowance, identity, signal: request.signal,
--- /dev/null
+++ b/packages/node/src/lib/root-calls.ts
@@ -0,0 +1,112 @@
+/**
+ * The rules for calls of callers: identities of irreversible calls, deadlines and the retry allowance.
+ */
+import {randomUUID} from 'node:crypto';
+import {RetryAllowance, type IdentityAuthority} from '@hemlockthread/identity';
+import type {PolicyKind, PolicyRecord} from '@hemlockthread/policy';
+import {RefusalReason, Verdict} from '@hemlockthread/verdict';
+import type {CallForwarder} from './call-forwarder.js';
+import {
+	refusal, type Call, type CallMessage, type CallResult,
+} from './call.js';
+import {processTiming, type NodeTiming, type PolicySource} from './collaborators.js';
+
+/** A call as a caller sent it. @public */
+export type RootCall = {
+	service: string;
+	kind: string;
+	message: CallMessage;
+	/** The identity of an irreversible call, as the caller sent it. */
+	idempotencyKey: string | undefined;
+	/** Time that the caller is ready to wait; not a number where it did not say. */
+	remainingMilliseconds: number;
+	/** Longest time that the request may have waited for this process. */
+	possibleWaitMilliseconds: number;
+	signal: AbortSignal;
+};
+
+const rootDepth = 1;
+
+/**
+ * Begins root calls.
+ *
+ * @public
+ */
+export class RootCalls {
+	constructor(
+		private readonly policy: PolicySource,
+		private readonly forwarder: Pick<CallForwarder, 'forward' | 'forwardToExecutor' | 'mint'>,
+		private readonly authority: IdentityAuthority,
+		private readonly timing: NodeTiming = processTiming,
+	) {}
+
+	async call(request: RootCall): Promise<CallResult> {
+		const {current} = this.policy;
+		const kind = current?.kind(request.kind);
+		if (current === undefined || kind === undefined) {
+			// Earlier attempts with the same key may have run, also where the kind is no longer in the policy.
+			const verdict = request.idempotencyKey === undefined ? Verdict.didNotRun : Verdict.mayHaveRun;
+			return refusal(verdict, current === undefined ? RefusalReason.notReady : RefusalReason.unknownKind);
+		}
+
+		const call = this.begin(request, kind, current);
+		if (request.idempotencyKey !== undefined) {
+			const check = this.authority.verify(request.idempotencyKey);
+			if (check.valid) {
+				return this.callIdentified({...call, identity: {token: request.idempotencyKey, claims: check.identity}}, current);
+			}
+
+			if (kind.irreversible) {
+				// A node with other keys may have accepted the same token.
+				return refusal(Verdict.mayHaveRun, RefusalReason.identityInvalid);
+			}
+		}
+
+		if (kind.irreversible) {
+			return this.offerIdentity(call);
+		}
+
+		// A request that waited through a pause of this process may be older than its lifetime.
+		return this.isOver(call) ? refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded) : this.forwarder.forward(call);
+	}
+
+	private async callIdentified(call: Call, policy: PolicyRecord): Promise<CallResult> {
+		const {claims} = call.identity!;
+		if (claims.kind !== call.kind || claims.service !== call.service) {
+			return refusal(Verdict.mayHaveRun, RefusalReason.identityInvalid);
+		}
+
+		if (this.isOver(call)) {
+			// Other attempts with this identity may have run.
+			return refusal(Verdict.mayHaveRun, RefusalReason.deadlineExceeded);
+		}
+
+		return this.forwarder.forwardToExecutor({
+			...call, rootIdentifier: claims.operation, priority: policy.priorityOf(call.kind, claims.operation),
+			allowance: new RetryAllowance(0),
+		});
+	}
+
+	private begin(request: RootCall, kind: PolicyKind, policy: PolicyRecord): Call {
+		const rootIdentifier = randomUUID();
+		const asked = request.remainingMilliseconds;
+		const lifetime = asked > 0 ? Math.min(asked, kind.lifetimeMilliseconds) : kind.lifetimeMilliseconds;
+		return {
+			service: request.service, kind: kind.name, rootKind: kind.name, rootIdentifier,
+			priority: policy.priorityOf(kind.name, rootIdentifier),
+			deadlineAt: this.timing.now() + lifetime - request.possibleWaitMilliseconds,
+			depth: rootDepth, message: request.message, allowance: new RetryAllowance(kind.retries), signal: request.signal,
+		};
+	}
+
+	private async offerIdentity(call: Call): Promise<CallResult> {
+		const minted = await this.forwarder.mint(call.service, call.kind, call.kind, call.priority);
+		return 'refused' in minted
+			? refusal(Verdict.didNotRun, minted.refused, {retryAfterMilliseconds: 1000})
+			: refusal(Verdict.didNotRun, RefusalReason.identityNeeded, {nextIdentity: minted.token});
+	}
+
+	private isOver(call: Call): boolean {
+		return this.timing.now() >= call.deadlineAt;
+	}
+}
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -17,12 +17,14 @@
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
 import {CallerListener} from './caller-listener.js';
+import {DownstreamCalls} from './downstream-calls.js';
 import {NodeIdentity} from './node-identity.js';
 import {OperatorListener} from './operator-listener.js';
 import {PauseDetector} from './pause-detector.js';
 import {NodePeerHandlers} from './peer-handlers.js';
 import {PeerPool} from './peer-pool.js';
 import {PolicyInForce} from './policy-in-force.js';
+import {RootCalls} from './root-calls.js';
 import {TargetClient} from './target-client.js';
 import {TargetListener} from './target-listener.js';
 
@@ -115,8 +117,8 @@
 		metrics.count('process.paused');
 		logs.warn('process was paused', {milliseconds: Math.round(milliseconds)});
 	}));
-	register(CallerListener, new CallerListener(self, policy, forwarder, authority, pauses, metrics));
-	register(TargetListener, new TargetListener(self, policy, forwarder, registry, metrics));
+	register(CallerListener, new CallerListener(self, policy, forwarder, new RootCalls(policy, forwarder, authority), pauses, metrics));
+	register(TargetListener, new TargetListener(self, new DownstreamCalls(policy, forwarder, registry, metrics)));
 
 	const dump = register(StateDumpRegistry, new StateDumpRegistry());
 	dump.register('node', () => ({
