--- a/packages/verdict/src/lib/refusal-reason.ts
+++ b/packages/verdict/src/lib/refusal-reason.ts
@@ -66,7 +66,7 @@
 	'operation-table-full': {status: 503, transient: true, reroutable: true},
 	'outcome-unknown': {status: 502, transient: false, reroutable: false},
 	'context-missing': {status: 400, transient: false, reroutable: false},
-	'parent-reversible': {status: 400, transient: false, reroutable: false},
+	'parent-reversible': {status: 409, transient: false, reroutable: false},
 	'retries-exhausted': {status: 429, transient: false, reroutable: false},
 	overloaded: {status: 503, transient: true, reroutable: false},
 	'cannot-finish-in-time': {status: 503, transient: true, reroutable: false},
