Test cut connections, link ages and answer matching

Cause: promises 3, 4 and 5 had no test with connections that break inside an exchange. Change: the test driver can put TCP relays before a node's peer and caller listeners and its target; a test cuts each of the six streams of a withdrawal at every nth byte and lets the oracle compare what callers were told with what ran.

--- /dev/null
+++ b/packages/failure-tests/src/lib/cut-connections.test.ts
@@ -0,0 +1,104 @@
+/**
+ * Connections cut at every byte position of an exchange. Guards against a false "did not run", a second run, and an
+ * answer that is passed on although it was cut short.
+ *
+ * `HEMLOCKTHREAD_CUT_STRIDE=1` cuts at every byte; the default keeps the run short.
+ */
+import process from 'node:process';
+import {
+	afterAll, beforeAll, describe, expect, it,
+} from 'vitest';
+import {FleetDriver, cellarNetPlan, type CallerAnswer} from '@hemlockthread/test-driver';
+import {Verdict} from '@hemlockthread/verdict';
+import type {RelayDirection} from '@hemlockthread/stand-ins';
+import {CallOracle} from './call-oracle.js';
+
+const kind = 'withdrawal';
+const call = `releases/${kind}`;
+const stride = Number(process.env.HEMLOCKTHREAD_CUT_STRIDE ?? 7);
+const suiteTimeoutMilliseconds = 600_000;
+
+const driver = new FleetDriver();
+const oracle = new CallOracle(driver);
+
+beforeAll(async () => {
+	const plan = cellarNetPlan();
+	// One executor, so that every withdrawal crosses the relays.
+	plan.instances = plan.instances.filter(instance => instance.name !== 'releases-2');
+	for (const instance of plan.instances) {
+		instance.relayed = instance.name === 'releases-1' || instance.name === 'racks-1';
+		if (instance.service === 'releases') {
+			instance.kinds[kind] = {workMilliseconds: 0, legs: []};
+		}
+	}
+
+	await driver.start(plan);
+});
+
+afterAll(async () => {
+	await driver.stop();
+});
+
+const places = [
+	{place: 'entry node to executor', relay: () => driver.instance('releases-1').relays!.peers},
+	{place: 'executor to target', relay: () => driver.instance('releases-1').relays!.target},
+	{place: 'caller to entry node', relay: () => driver.instance('racks-1').relays!.callers},
+];
+const directions: RelayDirection[] = ['forward', 'backward'];
+const cases = places.flatMap(place => directions.map(direction => ({...place, direction})));
+
+async function callThroughCut(body: string, identity: string | undefined): Promise<CallerAnswer | undefined> {
+	try {
+		return await driver.call('racks-1', call, {body, identity, remainingMilliseconds: 1500});
+	} catch {
+		// The caller's own connection was cut, so the caller was told nothing.
+		return undefined;
+	}
+}
+
+/** Measures how many bytes one undisturbed exchange takes in a direction. */
+async function exchangeBytes(relay: () => {bytes: Record<RelayDirection, number>}, direction: RelayDirection, body: string): Promise<number> {
+	const offer = await driver.call('racks-1', call, {body});
+	const before = relay().bytes[direction];
+	const answer = await driver.call('racks-1', call, {body, identity: offer.identity});
+	expect(answer.verdict).toBe(Verdict.ran);
+	return relay().bytes[direction] - before;
+}
+
+describe('a withdrawal', () => {
+	it.each(cases)('$place, $direction: every cut gives a truthful verdict, and a retry completes or stays truthful', async ({place, relay, direction}) => {
+		const total = await exchangeBytes(relay, direction, `bottle ${place} ${direction} whole`);
+		expect(total).toBeGreaterThan(0);
+		for (let position = 0; position < total; position += stride) {
+			const body = `bottle ${place} ${direction} ${position}`;
+			const offer = await driver.call('racks-1', call, {body});
+			expect(offer.status, `no identity before position ${position}`).toBe(428);
+			relay().cutAfter(direction, position);
+			const cut = await callThroughCut(body, offer.identity);
+			relay().heal();
+			if (cut !== undefined) {
+				oracle.record(body, cut);
+				expect(oracle.violations(kind), `after the cut at position ${position}`).toEqual([]);
+			}
+
+			const retried = await driver.call('racks-2', call, {body, identity: cut?.identity ?? offer.identity});
+			oracle.record(body, retried);
+			expect(oracle.violations(kind), `after the retry at position ${position}`).toEqual([]);
+			if (retried.verdict === Verdict.ran) {
+				expect(JSON.parse(retried.body)).toMatchObject({service: 'releases', kind, body});
+			}
+		}
+	}, suiteTimeoutMilliseconds);
+});
+
+describe('an answer of the target that is cut short', () => {
+	it.each(['truncate', 'hang-up'] as const)('%s: is never passed on as whole', async fault => {
+		const {target} = driver.instance('releases-1');
+		target.faults.set(kind, fault);
+		const body = `bottle ${fault}`;
+		const told = oracle.record(body, await driver.callOnce('racks-1', call, body));
+		target.faults.delete(kind);
+		expect(told.verdict).toBe(Verdict.mayHaveRun);
+		expect(oracle.violations(kind)).toEqual([]);
+	});
+});
--- a/packages/test-driver/src/index.ts
+++ b/packages/test-driver/src/index.ts
@@ -2,6 +2,6 @@
  * Starts a small fleet of stand-ins and node processes for tests, and calls it as a caller would.
  */
 export {
-	FleetDriver, type FleetPlan, type CallerAnswer, type DrivenInstance,
+	FleetDriver, type FleetPlan, type CallerAnswer, type DrivenInstance, type Relays,
 } from './lib/fleet-driver.js';
 export {cellarNetPlan, cellarNetPolicy} from './lib/plans.js';
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -10,7 +10,9 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {PlatformStandIn, TargetStandIn, type TargetKindPlan} from '@hemlockthread/stand-ins';
+import {
+	PlatformStandIn, TargetStandIn, TcpRelayStandIn, type TargetKindPlan,
+} from '@hemlockthread/stand-ins';
 import wreck from '@hapi/wreck';
 
 const nodeBinary = fileURLToPath(new URL('../../../node/dist/bin/hemlockthread-node.js', import.meta.url));
@@ -28,11 +30,16 @@
 		kinds: Record<string, TargetKindPlan>;
 		passContext?: boolean;
 		legAttempts?: number;
+		/** Puts a TCP relay in front of the node's listeners for peers and callers and in front of the target. */
+		relayed?: boolean;
 		/** Settings that differ from the driver's. */
 		settings?: Record<string, unknown>;
 	}>;
 };
 
+/** TCP relays by the listener behind them. @public */
+export type Relays = Record<'peers' | 'callers' | 'target', TcpRelayStandIn>;
+
 /** @public */
 export type DrivenInstance = {
 	name: string;
@@ -41,6 +48,8 @@
 	operatorUrl: string;
 	peerAddress: string;
 	settingsPath: string;
+	/** Relays of an instance that was planned as relayed. */
+	relays: Relays | undefined;
 	process: ChildProcess;
 	fleetEntry: Record<string, unknown>;
 };
@@ -142,6 +151,7 @@
 		for (const instance of this.instances.values()) {
 			instance.process.kill('SIGKILL');
 			await instance.target.close();
+			await Promise.all(Object.values(instance.relays ?? {}).map(async relay => relay.close()));
 		}
 
 		await this.platform.close();
@@ -151,12 +161,14 @@
 	private async prepare(plan: FleetPlan['instances'][number], host: string): Promise<void> {
 		const [target, callers, nodeForTarget, peers, operators] = await freePorts(host, 5) as [number, number, number, number, number];
 		const slots = plan.slots ?? 10;
+		const relays = plan.relayed === true ? await startRelays(host, {peers, callers, target}) : undefined;
+		const published = relays?.ports ?? {peers, callers, target};
 		const settings = {
 			instance: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test',
 			listen: {
 				callers: {host, port: callers}, target: {host, port: nodeForTarget}, peers: {host, port: peers}, operators: {host, port: operators},
 			},
-			targetUrl: `http://${host}:${target}`, targetSlots: slots, platformUrl: this.platformUrl, identityKeys,
+			targetUrl: `http://${host}:${published.target}`, targetSlots: slots, platformUrl: this.platformUrl, identityKeys,
 			...plan.settings,
 		};
 		const settingsPath = path.join(this.directory, `${plan.name}.json`);
@@ -168,11 +180,11 @@
 		await standIn.listen(host, target);
 		this.instances.set(plan.name, {
 			name: plan.name, target: standIn, settingsPath,
-			callerUrl: `http://${host}:${callers}`, operatorUrl: `http://${host}:${operators}`, peerAddress: `${host}:${peers}`,
+			relays: relays?.relays, callerUrl: `http://${host}:${published.callers}`, operatorUrl: `http://${host}:${operators}`, peerAddress: `${host}:${published.peers}`,
 			process: undefined as unknown as ChildProcess,
 			fleetEntry: {
 				name: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test', slots,
-				peerAddress: `${host}:${peers}`, callerAddress: `${host}:${callers}`, operatorAddress: `${host}:${operators}`,
+				peerAddress: `${host}:${published.peers}`, callerAddress: `${host}:${published.callers}`, operatorAddress: `${host}:${operators}`,
 			},
 		});
 	}
@@ -202,6 +214,16 @@
 	}
 }
 
+async function startRelays(host: string, ports: Record<keyof Relays, number>): Promise<{relays: Relays; ports: Record<keyof Relays, number>}> {
+	const relays: Relays = {
+		peers: new TcpRelayStandIn({host, port: ports.peers}),
+		callers: new TcpRelayStandIn({host, port: ports.callers}),
+		target: new TcpRelayStandIn({host, port: ports.target}),
+	};
+	const [peers, callers, target] = await Promise.all([relays.peers, relays.callers, relays.target].map(async relay => relay.listen(host)));
+	return {relays, ports: {peers: peers!.port, callers: callers!.port, target: target!.port}};
+}
+
 /** Finds free TCP ports on an address; all are held until the last is found, so that none is given twice. */
 async function freePorts(host: string, count: number): Promise<number[]> {
 	const servers = Array.from({length: count}, () => createServer().listen(0, host));
--- /dev/null
+++ b/packages/wire/src/lib/link-clock.test.ts
@@ -0,0 +1,54 @@
+/**
+ * The age bound of frames. Guards against a request that waited in a socket and is taken for a fresh one.
+ */
+import {describe, expect, it} from 'vitest';
+import {LinkClock} from './link-clock.js';
+
+/** The peer's clock runs `offset` ms behind the local one; transit takes `transit` ms each way. */
+const offset = 5000;
+const transit = 2;
+
+describe('LinkClock', () => {
+	it.each([
+		{name: 'a fresh frame', heldMilliseconds: 0},
+		{name: 'a frame held for 20 s in the socket', heldMilliseconds: 20_000},
+		{name: 'a frame held for 300 ms', heldMilliseconds: 300},
+	])('$name has an age from its hold to its hold plus one round trip', ({heldMilliseconds}) => {
+		const clock = new LinkClock();
+		const localHelloSentAt = 10_000;
+		const peerHelloSentAt = localHelloSentAt + transit - offset;
+		clock.age(peerHelloSentAt, localHelloSentAt, localHelloSentAt + (2 * transit));
+		const sentAt = 11_000 - offset;
+		const age = clock.age(sentAt, localHelloSentAt, 11_000 + transit + heldMilliseconds);
+		expect(age).toBeGreaterThanOrEqual(heldMilliseconds + transit);
+		const driftMilliseconds = 200e-6 * (heldMilliseconds + 1000);
+		expect(age).toBeLessThanOrEqual(heldMilliseconds + (2 * transit) + driftMilliseconds);
+	});
+
+	it('never underestimates when the first frames were already delayed', () => {
+		const clock = new LinkClock();
+		const localHelloSentAt = 10_000;
+		const peerHelloSentAt = localHelloSentAt + transit - offset;
+		const wokenAt = localHelloSentAt + 20_000;
+		clock.age(peerHelloSentAt, localHelloSentAt, wokenAt);
+		expect(clock.age(peerHelloSentAt + 1, localHelloSentAt, wokenAt)).toBeGreaterThanOrEqual(19_990);
+	});
+
+	it.each([
+		{name: 'nothing was heard', heard: undefined},
+		{name: 'the peer claims a stamp of the future', heard: 99_999},
+	])('is unbounded while $name', ({heard}) => {
+		expect(new LinkClock().age(1, heard, 50)).toBe(Number.POSITIVE_INFINITY);
+	});
+
+	it('still bounds the age after a day of clock drift', () => {
+		const clock = new LinkClock();
+		const dayMilliseconds = 86_400_000;
+		const drift = 100e-6;
+		clock.age(1000 - offset, 999, 1002);
+		// The peer's clock runs fast, so the earlier bound has become too high by the drift.
+		const sentAt = 1000 - offset + (dayMilliseconds * (1 + drift));
+		const age = clock.age(sentAt, undefined, 1000 + dayMilliseconds + transit + 500);
+		expect(age).toBeGreaterThanOrEqual(500);
+	});
+});
