--- a/packages/node/src/lib/http-server.ts
+++ b/packages/node/src/lib/http-server.ts
@@ -1,6 +1,7 @@
 /**
  * hapi servers with the least work per request: raw bodies, no cookies, no compression.
  */
+import {createServer as createHttpServer} from 'node:http';
 import {
 	server as createServer, type Request, type ResponseToolkit, type Server, type ServerRoute,
 } from '@hapi/hapi';
@@ -9,11 +10,26 @@
 import {Header} from './call.js';
 
 const firstServerError = 500;
-const payloadTimeoutMilliseconds = 10_000;
+/** Limits of one connection; a sender that is slower or larger is refused without cost to others. */
+const connectionLimits = {
+	payloadTimeoutMilliseconds: 5000,
+	headersTimeoutMilliseconds: 5000,
+	maximumHeaderBytes: 16 * 1024,
+	/** How often the limits on headers are checked. */
+	checkIntervalMilliseconds: 1000,
+	maximumConnections: 4096,
+} as const;
 
 /** Creates a server that listens on an IP number. @public */
 export async function startHttpServer(address: {host: string; port: number}, routes: ServerRoute[]): Promise<Server> {
+	const listener = createHttpServer({
+		maxHeaderSize: connectionLimits.maximumHeaderBytes,
+		headersTimeout: connectionLimits.headersTimeoutMilliseconds,
+		connectionsCheckingInterval: connectionLimits.checkIntervalMilliseconds,
+	});
+	listener.maxConnections = connectionLimits.maximumConnections;
 	const httpServer = createServer({
+		listener,
 		host: address.host,
 		port: address.port,
 		compression: false,
@@ -21,7 +37,7 @@
 		routes: {
 			state: {parse: false, failAction: 'ignore'},
 			payload: {
-				parse: false, output: 'data', maxBytes: frameLimits.maximumBodyBytes, timeout: payloadTimeoutMilliseconds,
+				parse: false, output: 'data', maxBytes: frameLimits.maximumBodyBytes, timeout: connectionLimits.payloadTimeoutMilliseconds,
 			},
 			security: false,
 			cors: false,
--- a/packages/wire/src/lib/peer-server.ts
+++ b/packages/wire/src/lib/peer-server.ts
@@ -2,6 +2,7 @@
  * Accepts and opens peer connections.
  */
 import {once} from 'node:events';
+import {createServer as createHttpServer, type Server} from 'node:http';
 import {CallError, RefusalReason, Verdict} from '@hemlockthread/verdict';
 import type {Metrics} from '@hemlockthread/telemetry';
 import {WebSocket, WebSocketServer} from 'ws';
@@ -10,6 +11,9 @@
 
 const connectTimeoutMilliseconds = 1000;
 const maximumIncomingConnections = 2048;
+const upgradeRequiredStatus = 426;
+/** A peer that is slow with its handshake is closed; node's defaults would keep it for a minute. */
+const handshakeLimits = {headersTimeout: 2000, requestTimeout: 2000, connectionsCheckingInterval: 500} as const;
 
 /**
  * Listens for peers. Frames are small and latency counts, so compression is off.
@@ -17,7 +21,7 @@
  * @public
  */
 export class PeerServer {
-	private server: WebSocketServer | undefined;
+	private listener: Server | undefined;
 	private readonly connections = new Set<PeerConnection>();
 
 	constructor(
@@ -27,14 +31,18 @@
 	) {}
 
 	async listen(host: string, port: number): Promise<void> {
+		const listener = createHttpServer(handshakeLimits, (_request, response) => {
+			response.writeHead(upgradeRequiredStatus).end();
+		});
 		const server = new WebSocketServer({
-			host, port, perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes,
+			server: listener, perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes,
 		});
 		server.on('connection', socket => {
 			this.accept(socket);
 		});
-		await once(server, 'listening');
-		this.server = server;
+		listener.listen(port, host);
+		await once(listener, 'listening');
+		this.listener = listener;
 	}
 
 	/** Connections accepted and not yet closed. */
@@ -48,14 +56,15 @@
 		}
 
 		await new Promise<void>(resolve => {
-			if (this.server === undefined) {
+			if (this.listener === undefined) {
 				resolve();
 				return;
 			}
 
-			this.server.close(() => {
+			this.listener.close(() => {
 				resolve();
 			});
+			this.listener.closeAllConnections();
 		});
 	}
 
