Add the experiment tool with the call graphs of both workloads

npm run experiment starts the platform stand-in, targets in their own processes and a node process beside each, and drives them with arrivals that are planned before the start, so a slow answer never delays a later one. The ideal is the optimum of a linear programme over slots, service times and worths (yalps).

--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -1,4 +1,8 @@
 /**
  * Load and experiment tool, reports and the demo.
  */
-export const packageName = '@hemlockthread/load';
+export {
+	loadExperiment, parseExperiment, ExperimentFileError, type Experiment,
+} from './lib/experiment-file.js';
+export {idealGoodput, offeredLoad} from './lib/ideal.js';
+export {runExperiment, type ExperimentResult} from './lib/run-experiment.js';
--- /dev/null
+++ b/packages/load/src/lib/ideal.ts
@@ -0,0 +1,76 @@
+/**
+ * The ideal goodput of a call graph: the most worth per second that its slots could turn into whole answers.
+ *
+ * A request of root kind k holds a slot of service s for d(k, s) milliseconds: the work of its runs there and the time of
+ * their downstream calls without any waiting. With n(s) slots in all instances of s, offered rates r(k) and worths w(k),
+ * the ideal is the optimum of the linear programme
+ *
+ *     maximise   sum over k of w(k) x(k)
+ *     subject to sum over k of d(k, s) x(k) <= 1000 n(s) for every s, and 0 <= x(k) <= r(k).
+ */
+import {inRange, lessEq, solve} from 'yalps';
+import {worthOf, type Experiment} from './experiment-file.js';
+
+/** Slot-milliseconds by service. @public */
+export type SlotDemand = Map<string, number>;
+
+/** @public */
+export type IdealGoodput = {
+	/** Sum of worths per second. */
+	weighted: number;
+	/** Whole answers per second by kind. */
+	byKind: Record<string, number>;
+};
+
+/** Slot time that one request takes at each service. @public */
+export function slotDemand(experiment: Experiment, service: string, kind: string): SlotDemand {
+	const demand: SlotDemand = new Map();
+	addDemand(experiment, service, kind, demand);
+	return demand;
+}
+
+/** Returns how long the slot of the given run is held. */
+function addDemand(experiment: Experiment, service: string, kind: string, demand: SlotDemand): number {
+	const plan = experiment.services[service]!.kinds[kind]!;
+	let held = plan.workMilliseconds;
+	for (const leg of plan.legs) {
+		held += addDemand(experiment, leg.service, leg.kind, demand);
+	}
+
+	demand.set(service, (demand.get(service) ?? 0) + held);
+	return held;
+}
+
+/** Slots of a service in all instances. */
+function slotsOf(experiment: Experiment, service: string): number {
+	const plan = experiment.services[service]!;
+	return plan.slots * plan.instancesPerDomain * experiment.failureDomains.length;
+}
+
+/** Works out the ideal for offered rates per second by kind. @public */
+export function idealGoodput(experiment: Experiment, offered: Readonly<Record<string, number>>): IdealGoodput {
+	const variables = Object.fromEntries(experiment.traffic.map(traffic => {
+		const demand = Object.fromEntries([...slotDemand(experiment, traffic.service, traffic.kind)].map(([service, held]) => [`slots ${service}`, held]));
+		return [traffic.kind, {...demand, worth: worthOf(experiment, traffic.kind), [`rate ${traffic.kind}`]: 1}];
+	}));
+	const constraints = Object.fromEntries([
+		...Object.keys(experiment.services).map(service => [`slots ${service}`, lessEq(1000 * slotsOf(experiment, service))] as const),
+		...experiment.traffic.map(traffic => [`rate ${traffic.kind}`, inRange(0, offered[traffic.kind] ?? 0)] as const),
+	]);
+	const solution = solve({
+		direction: 'maximize', objective: 'worth', constraints, variables,
+	});
+	return {weighted: solution.result, byKind: Object.fromEntries(solution.variables)};
+}
+
+/** Offered slot time as a multiple of the slots of the service that is short first. @public */
+export function offeredLoad(experiment: Experiment, offered: Readonly<Record<string, number>>): number {
+	const loads = new Map<string, number>();
+	for (const traffic of experiment.traffic) {
+		for (const [service, held] of slotDemand(experiment, traffic.service, traffic.kind)) {
+			loads.set(service, (loads.get(service) ?? 0) + (held * (offered[traffic.kind] ?? 0) / (1000 * slotsOf(experiment, service))));
+		}
+	}
+
+	return Math.max(0, ...loads.values());
+}
--- /dev/null
+++ b/packages/load/src/lib/process-usage.ts
@@ -0,0 +1,95 @@
+/**
+ * CPU time, memory and written bytes of running processes, from /proc.
+ */
+import {readFileSync} from 'node:fs';
+import os from 'node:os';
+import {performance} from 'node:perf_hooks';
+import process from 'node:process';
+
+/** Clock ticks per second of `/proc/{pid}/stat` on Linux. */
+const ticksPerSecond = 100;
+const userTimeField = 11;
+const systemTimeField = 12;
+
+/** @public */
+export type ProcessUsage = {cpuMilliseconds: number; residentBytes: number};
+
+/** Usage of a process; undefined when it has ended. @public */
+export function processUsage(pid: number): ProcessUsage | undefined {
+	try {
+		const stat = readFileSync(`/proc/${pid}/stat`, 'utf8');
+		// The name in parentheses may contain spaces.
+		const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
+		const ticks = Number(fields[userTimeField]) + Number(fields[systemTimeField]);
+		const resident = /^VmRSS:\s+(?<kilobytes>\d+)/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes;
+		return {cpuMilliseconds: ticks * 1000 / ticksPerSecond, residentBytes: Number(resident ?? 0) * 1024};
+	} catch {
+		return undefined;
+	}
+}
+
+/** Busy and total time of all cores since start, in milliseconds. @public */
+export function machineUsage(): {busy: number; total: number} {
+	let busy = 0;
+	let total = 0;
+	for (const {times} of os.cpus()) {
+		const all = times.user + times.nice + times.sys + times.irq + times.idle;
+		total += all;
+		busy += all - times.idle;
+	}
+
+	return {busy, total};
+}
+
+/** The machine that figures were taken on. @public */
+export function machineDescription(): {cpu: string; cores: number; memoryGigabytes: number; node: string; loadAverage: number} {
+	return {
+		cpu: os.cpus()[0]?.model ?? 'unknown', cores: os.availableParallelism(), memoryGigabytes: Math.round(os.totalmem() / (2 ** 30)),
+		node: process.version, loadAverage: os.loadavg()[0]!,
+	};
+}
+
+/** Samples the CPU share of processes once per interval. @public */
+export class UsageSampler {
+	/** Largest share of one core that a process used in one interval, by name. */
+	readonly peaks: Record<string, number> = {};
+	/** Largest share of the whole machine that was busy in one interval, other programs included. */
+	machinePeak = 0;
+	private readonly last = new Map<string, {cpuMilliseconds: number; at: number}>();
+	private lastMachine = machineUsage();
+	private readonly timer: NodeJS.Timeout;
+
+	constructor(private readonly processes: () => Iterable<[name: string, pid: number]>, intervalMilliseconds = 1000) {
+		this.sample();
+		this.timer = setInterval(() => {
+			this.sample();
+		}, intervalMilliseconds);
+		this.timer.unref();
+	}
+
+	stop(): void {
+		clearInterval(this.timer);
+	}
+
+	private sample(): void {
+		const at = performance.now();
+		for (const [name, pid] of this.processes()) {
+			const usage = processUsage(pid);
+			const before = this.last.get(`${name} ${pid}`);
+			if (usage !== undefined && before !== undefined) {
+				this.peaks[name] = Math.max(this.peaks[name] ?? 0, (usage.cpuMilliseconds - before.cpuMilliseconds) / (at - before.at));
+			}
+
+			if (usage !== undefined) {
+				this.last.set(`${name} ${pid}`, {cpuMilliseconds: usage.cpuMilliseconds, at});
+			}
+		}
+
+		const machine = machineUsage();
+		if (machine.total > this.lastMachine.total) {
+			this.machinePeak = Math.max(this.machinePeak, (machine.busy - this.lastMachine.busy) / (machine.total - this.lastMachine.total));
+		}
+
+		this.lastMachine = machine;
+	}
+}
--- /dev/null
+++ b/packages/load/src/lib/recorder.ts
@@ -0,0 +1,107 @@
+/**
+ * Records what callers saw, per kind and second.
+ */
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Bins per second, fine enough to see a recovery of a second or two. @public */
+export const binsPerSecond = 4;
+
+/**
+ * How an operation ended for its caller: a whole answer, an answer that the target gave after a failure, a refusal with
+ * its verdict, or no answer at all.
+ *
+ * @public
+ */
+export const outcomes = ['whole', 'failed', 'did-not-run', 'may-have-run', 'unknown'] as const;
+
+/** @public */
+export type Outcome = (typeof outcomes)[number];
+
+/** Counts per bin; `offered` by planned arrival, the rest by the time of the final answer. @public */
+export type KindSeries = {offered: number[]} & Record<Outcome, number[]>;
+
+/** @public */
+export type KindTotals = {
+	/** Refusals and failures by reason; `http-502` and the like where a target answered. */
+	reasons: Record<string, number>;
+	/** Requests sent by callers, repetitions and identity exchanges included. */
+	requests: number;
+	/** Latency of whole answers from the planned arrival, in milliseconds. */
+	latency: {median: number; p99: number; maximum: number};
+	/** Latency of whole answers of operations planned in the measured window. */
+	inWindow: {offered: number; whole: number};
+};
+
+type KindRecord = {series: KindSeries; reasons: Map<string, number>; requests: number; latency: Histogram; inWindow: {offered: number; whole: number}};
+
+const microsecondsPerMillisecond = 1000;
+
+/** @public */
+export class Recorder {
+	/** Final outcomes by root, to tell useful from wasted work. */
+	readonly finalOutcomes = new Map<string, Outcome>();
+	private readonly kinds = new Map<string, KindRecord>();
+	private readonly bins: number;
+
+	constructor(kinds: readonly string[], private readonly warmUpMilliseconds: number, endMilliseconds: number) {
+		this.bins = Math.ceil(endMilliseconds * binsPerSecond / 1000);
+		for (const kind of kinds) {
+			this.kinds.set(kind, {
+				series: Object.fromEntries(['offered', ...outcomes].map(name => [name, Array.from({length: this.bins}, () => 0)])) as KindSeries,
+				reasons: new Map(), requests: 0, latency: build({lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000, numberOfSignificantValueDigits: 3}),
+				inWindow: {offered: 0, whole: 0},
+			});
+		}
+	}
+
+	offered(kind: string, at: number): void {
+		const record = this.kinds.get(kind)!;
+		record.series.offered[this.bin(at)]! += 1;
+		record.inWindow.offered += at >= this.warmUpMilliseconds ? 1 : 0;
+	}
+
+	request(kind: string): void {
+		this.kinds.get(kind)!.requests += 1;
+	}
+
+	finished(kind: string, root: string, plannedAt: number, at: number, outcome: Outcome, reason: string | undefined): void {
+		const record = this.kinds.get(kind)!;
+		this.finalOutcomes.set(root, outcome);
+		record.series[outcome][this.bin(at)]! += 1;
+		if (outcome === 'whole') {
+			record.latency.recordValue(Math.max(1, Math.round((at - plannedAt) * microsecondsPerMillisecond)));
+			record.inWindow.whole += plannedAt >= this.warmUpMilliseconds ? 1 : 0;
+		} else {
+			record.reasons.set(reason ?? 'none', (record.reasons.get(reason ?? 'none') ?? 0) + 1);
+		}
+	}
+
+	/** Series by kind. */
+	series(): Record<string, KindSeries> {
+		return Object.fromEntries([...this.kinds].map(([kind, record]) => [kind, record.series]));
+	}
+
+	totals(): Record<string, KindTotals> {
+		return Object.fromEntries([...this.kinds].map(([kind, record]) => [kind, {
+			reasons: Object.fromEntries(record.reasons), requests: record.requests, inWindow: record.inWindow,
+			latency: {
+				median: record.latency.getValueAtPercentile(50) / microsecondsPerMillisecond,
+				p99: record.latency.getValueAtPercentile(99) / microsecondsPerMillisecond,
+				maximum: record.latency.maxValue / microsecondsPerMillisecond,
+			},
+		}]));
+	}
+
+	/** Counts of all kinds in the last whole second, for progress lines. */
+	progress(at: number): string {
+		const last = Math.max(0, this.bin(at) - binsPerSecond);
+		return [...this.kinds].map(([kind, {series}]) => {
+			const sum = (values: number[]) => values.slice(last, last + binsPerSecond).reduce((total, value) => total + value, 0);
+			return `${kind} ${sum(series.whole)}/${sum(series.offered)}`;
+		}).join(', ');
+	}
+
+	private bin(at: number): number {
+		return Math.min(this.bins - 1, Math.max(0, Math.floor(at * binsPerSecond / 1000)));
+	}
+}
--- a/xo.config.js
+++ b/xo.config.js
@@ -17,6 +17,8 @@
 			'@typescript-eslint/no-unsafe-type-assertion': 'off',
 			// Errors made by modern-errors are errors, which their declared type does not show.
 			'@typescript-eslint/only-throw-error': 'off',
+			// clipanion names the functions that declare options like classes.
+			'new-cap': ['error', {newIsCap: true, capIsNew: true, capIsNewExceptionPattern: String.raw`^(Option|Command)\.`}],
 			// Constructor injection names each collaborator.
 			'max-params': 'off',
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
