--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -16,5 +16,6 @@
 } from './lib/collaborators.js';
 export {DownstreamCalls, type DownstreamCall} from './lib/downstream-calls.js';
 export {NodePeerHandlers} from './lib/peer-handlers.js';
+export {PeerPool, peerPoolOptions} from './lib/peer-pool.js';
 export {RootCalls, type RootCall} from './lib/root-calls.js';
 export {type TargetAnswer} from './lib/target-client.js';
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -3,7 +3,9 @@
  */
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {
+	mkdtempSync, readFileSync, rmSync, writeFileSync,
+} from 'node:fs';
 import {createServer} from 'node:net';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
@@ -107,6 +109,13 @@
 		return this.platform.publish('fleet', JSON.stringify({schemaVersion: 1, instances}));
 	}
 
+	/** Changes settings that the node of an instance reads at its next start. */
+	changeSettings(name: string, change: Record<string, unknown>): void {
+		const {settingsPath} = this.instance(name);
+		const settings = JSON.parse(readFileSync(settingsPath, 'utf8')) as Record<string, unknown>;
+		writeFileSync(settingsPath, JSON.stringify({...settings, ...change}));
+	}
+
 	/** Starts the node of an instance again after its process ended. */
 	async restart(name: string): Promise<void> {
 		const instance = this.instance(name);
--- /dev/null
+++ b/packages/test-driver/src/lib/record-spread.test.ts
@@ -0,0 +1,200 @@
+/**
+ * Records in a fleet of real node processes. Guards against records that do not reach a node, or go back, while parts of
+ * the fleet or the platform fail.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, describe, expect, it,
+} from 'vitest';
+import {FleetDriver, type FleetPlan} from './fleet-driver.js';
+import {cellarNetPolicy} from './plans.js';
+
+const limitMilliseconds = 40_000;
+const domains = ['akl-a', 'akl-a', 'akl-a', 'akl-b', 'akl-b', 'akl-b'];
+const names = domains.map((_, index) => `racks-${index + 1}`);
+const policyOf = (lifetimeMilliseconds: number) => JSON.stringify({
+	...cellarNetPolicy, kinds: cellarNetPolicy.kinds.map(kind => ({...kind, lifetimeMilliseconds})),
+});
+
+let driver: FleetDriver;
+
+async function startFleet(change: (name: string) => Partial<FleetPlan['instances'][number]> = () => ({})): Promise<void> {
+	driver = new FleetDriver();
+	await driver.start({
+		policy: cellarNetPolicy,
+		instances: names.map((name, index) => ({
+			name, service: 'racks', failureDomain: domains[index]!, kinds: {'stock-view': {workMilliseconds: 1, legs: []}}, ...change(name),
+		})),
+	});
+}
+
+afterEach(async () => {
+	await driver.stop();
+});
+
+async function policyRevisions(of: readonly string[] = names): Promise<number[]> {
+	const states = await Promise.all(of.map(async name => driver.state(name)));
+	return states.map(state => state.policy!.revision as number);
+}
+
+/** Revisions held, whether or not their content was accepted. */
+async function heldRevisions(): Promise<number[]> {
+	const states = await Promise.all(names.map(async name => driver.state(name)));
+	return states.map(state => (state.records!.policy as {revision: number}).revision);
+}
+
+async function waitForRevision(revision: number, of: readonly string[] = names): Promise<void> {
+	const endAt = Date.now() + limitMilliseconds;
+	let seen: number[] = [];
+	while (Date.now() < endAt) {
+		seen = await policyRevisions(of);
+		if (seen.every(value => value === revision)) {
+			return;
+		}
+
+		await delay(100);
+	}
+
+	throw new Error(`revision ${revision} is not in force everywhere: ${seen.join(' ')}`);
+}
+
+async function watchers(): Promise<string[]> {
+	const states = await Promise.all(names.map(async name => ({name, state: await driver.state(name)})));
+	return states.filter(({state}) => state.fleet!.watcher === true).map(({name}) => name);
+}
+
+async function counter(name: string, counterName: string): Promise<number> {
+	const {counters} = await driver.state(name);
+	return (counters![counterName] as number | undefined) ?? 0;
+}
+
+async function kill(name: string): Promise<void> {
+	driver.instance(name).process.kill('SIGKILL');
+	await delay(50);
+}
+
+const publish = (lifetimeMilliseconds: number) => driver.platform.publish('policy', policyOf(lifetimeMilliseconds));
+
+describe('records in six nodes of two failure domains', () => {
+	it('reach nodes that do not watch, and two at once end at the newer', async () => {
+		await startFleet();
+		publish(2001);
+		await waitForRevision(publish(2002));
+		const watching = await watchers();
+		expect(watching).toHaveLength(4);
+		const others = names.filter(name => !watching.includes(name));
+		const reads = await Promise.all(others.map(async name => counter(name, 'platform.read')));
+		expect(reads).toEqual([2, 2]);
+	});
+
+	it('reach a domain whose watchers are dead', async () => {
+		await startFleet();
+		const watching = await watchers();
+		const dead = watching.filter(name => domains[names.indexOf(name)] === 'akl-a');
+		await Promise.all(dead.map(async name => kill(name)));
+		await waitForRevision(publish(2003), names.filter(name => !dead.includes(name)));
+	});
+
+	it('stay in force while the platform is down, and a restarted node gets them from its bootstrap peers', async () => {
+		const peers: Array<{host: string; port: number}> = [];
+		await startFleet();
+		for (const name of names.slice(0, 2)) {
+			const [host, port] = driver.instance(name).peerAddress.split(':') as [string, string];
+			peers.push({host, port: Number(port)});
+		}
+
+		const revision = publish(2004);
+		await waitForRevision(revision);
+		driver.platform.setAvailable(false);
+		await kill('racks-6');
+		driver.changeSettings('racks-6', {bootstrapPeers: peers});
+		await driver.restart('racks-6');
+		await waitForRevision(revision);
+		driver.platform.setAvailable(true);
+		await waitForRevision(publish(2005));
+	});
+
+	it('do not go back in a restarted node when the platform answers with an older record', async () => {
+		await startFleet();
+		const stale = {revision: 1, value: policyOf(2006)};
+		const revision = publish(2007);
+		await waitForRevision(revision);
+		driver.platform.revert('policy', stale);
+		await kill('racks-5');
+		await driver.restart('racks-5');
+		// The node is ready now; an older policy must not have been in force in between.
+		expect(await policyRevisions(['racks-5'])).toEqual([revision]);
+		expect(await counter('racks-5', 'policy.accepted')).toBe(1);
+	});
+
+	it('stay in force when withdrawn, also in a restarted node', async () => {
+		await startFleet();
+		const [before] = await policyRevisions();
+		driver.platform.withdraw('policy');
+		await kill('racks-4');
+		await driver.restart('racks-4');
+		await waitForRevision(before!);
+	});
+
+	it.each([
+		['malformed', '{"schemaVersion":'],
+		['of an unknown schema version', JSON.stringify({schemaVersion: 99})],
+	])('%s are refused by every node, passed on, and followed by the next good one', async (_case, value) => {
+		await startFleet();
+		const [before] = await policyRevisions();
+		const refused = driver.platform.publish('policy', value);
+		const endAt = Date.now() + limitMilliseconds;
+		let held = await heldRevisions();
+		while (Date.now() < endAt && held.some(revision => revision !== refused)) {
+			await delay(100);
+			held = await heldRevisions();
+		}
+
+		expect(held).toEqual(names.map(() => refused));
+		expect(await policyRevisions()).toEqual(names.map(() => before));
+		await waitForRevision(publish(2008));
+	});
+
+	it('over the size limit are refused without being passed on', async () => {
+		await startFleet();
+		const [before] = await policyRevisions();
+		driver.platform.publish('policy', 'x'.repeat(1_000_001));
+		const [watching] = await watchers();
+		const endAt = Date.now() + limitMilliseconds;
+		while (await counter(watching!, 'records.refused') === 0 && Date.now() < endAt) {
+			await delay(50);
+		}
+
+		expect(await counter(watching!, 'records.refused')).toBe(1);
+		expect(await policyRevisions()).toEqual(names.map(() => before));
+		await waitForRevision(publish(2009));
+	});
+
+	it.each([
+		['in both directions', ['forward', 'backward']],
+		['in one direction', ['forward']],
+		['in the other direction', ['backward']],
+	] as const)('reach a domain without the platform after a cut %s heals', async (_case, directions) => {
+		const domainOf = (name: string) => domains[names.indexOf(name)];
+		// Nothing listens on port 1, so nodes of akl-b hear of records from peers only.
+		await startFleet(name => ({relayed: true, settings: domainOf(name) === 'akl-b' ? {platformUrl: 'http://127.0.0.1:1'} : {}}));
+		const [before] = await policyRevisions();
+		const relays = names.map(name => driver.instance(name).relays!.peers);
+		for (const relay of relays) {
+			for (const direction of directions) {
+				relay.stopForwarding(direction);
+			}
+		}
+
+		const revision = publish(2010);
+		const watching = await watchers();
+		await waitForRevision(revision, watching.filter(name => domainOf(name) === 'akl-a'));
+		const cutOff = names.filter(name => domainOf(name) === 'akl-b');
+		expect(await policyRevisions(cutOff)).toEqual(cutOff.map(() => before));
+		for (const relay of relays) {
+			relay.heal();
+		}
+
+		await waitForRevision(revision);
+	});
+});
