--- a/packages/distribution/src/lib/platform-watcher.test.ts
+++ b/packages/distribution/src/lib/platform-watcher.test.ts
@@ -99,6 +99,24 @@
 		expect(revision).toBe(5);
 	});
 
+	it('does not count a record as refused that a neighbour brought during the watch', async () => {
+		const store = new RecordStore();
+		const metrics = new Metrics();
+		const watcher = new PlatformWatcher({
+			store, metrics, options: {...distributionOptions, keys: ['policy'], startSpreadMilliseconds: 0},
+			clock: {now: () => 0, wait: async () => undefined}, role: () => 'watcher', needsFallback: () => false, onAnswer: () => undefined,
+			platform: {
+				async read() {
+					store.accept('policy', 7, '{}');
+					return recordAnswer(7);
+				},
+			},
+		});
+		await watcher.readFirst(new AbortController().signal);
+		expect(metrics.total('records.refused')).toBe(0);
+		expect(metrics.total('platform.record.known')).toBe(1);
+	});
+
 	it('takes a newer record in a watch and keeps a waiting one', async () => {
 		const platform: Platform = ({after, waitMilliseconds}) =>
 			after < 7 ? {answer: recordAnswer(7), takes: 10} : {answer: {type: 'unchanged'}, takes: waitMilliseconds};
--- a/packages/distribution/src/lib/platform-watcher.ts
+++ b/packages/distribution/src/lib/platform-watcher.ts
@@ -162,6 +162,12 @@
 				return {type: 'unchanged'};
 			}
 
+			// A neighbour may have brought the record while the watch waited.
+			if (revision <= store.newestSeen(key)) {
+				metrics.count('platform.record.known');
+				return answer;
+			}
+
 			metrics.count(store.accept(key, revision, value) ? 'records.accepted' : 'records.refused');
 			return answer;
 		} catch {
--- a/packages/distribution/src/lib/record-distributor.ts
+++ b/packages/distribution/src/lib/record-distributor.ts
@@ -165,7 +165,9 @@
 			if (this.options.deferredKeys.every(key => this.parts.store.get(key) !== undefined)) {
 				heldAt ??= performance.now();
 				const waited = performance.now() - heldAt > this.options.settleMilliseconds;
-				await Promise.race([keep(), waitQuietly(this.options.settleMilliseconds, signal)]);
+				const waiting = new AbortController();
+				await Promise.race([keep(), waitQuietly(this.options.settleMilliseconds, waiting.signal)]);
+				waiting.abort();
 				if (this.exchange.idle || waited) {
 					this.settledAt = performance.now();
 					this.parts.store.settle();
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -101,6 +101,7 @@
 	followFleet(store, fleet, logs, metrics);
 	const distributor = register(RecordDistributor, new RecordDistributor({
 		self, store, fleet, platform: new PlatformClient(settings.platformUrl), metrics,
+		options: {startSpreadMilliseconds: settings.startSpreadMilliseconds},
 		bootstrapPeers: settings.bootstrapPeers.map(({host, port}) => `${host}:${port}`),
 	}));
 	const selector = register(TargetSelector, new TargetSelector(settings, fleet));
--- a/packages/settings/src/lib/node-settings.ts
+++ b/packages/settings/src/lib/node-settings.ts
@@ -25,6 +25,8 @@
 	targetSlots: z.int().min(1).max(100_000),
 	/** Base URL of the configuration service. */
 	platformUrl: z.url(),
+	/** First reads of the configuration service are spread over this time; a small fleet can do with less. */
+	startSpreadMilliseconds: z.int().min(0).max(60_000).default(2000),
 	/** Peer listeners of other nodes, asked at start until a fleet list is known. */
 	bootstrapPeers: z.array(addressSchema).max(64).default([]),
 	identityKeys: z.array(z.strictObject({id: z.string().min(1), secret: z.string().min(32)})).min(1),
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -177,7 +177,7 @@
 			listen: {
 				callers: {host, port: callers}, target: {host, port: nodeForTarget}, peers: {host, port: peers}, operators: {host, port: operators},
 			},
-			targetUrl: `http://${host}:${published.target}`, targetSlots: slots, platformUrl: this.platformUrl, identityKeys,
+			targetUrl: `http://${host}:${published.target}`, targetSlots: slots, platformUrl: this.platformUrl, identityKeys, startSpreadMilliseconds: 100,
 			...plan.settings,
 		};
 		const settingsPath = path.join(this.directory, `${plan.name}.json`);
