--- a/packages/test-driver/src/lib/record-spread.test.ts
+++ b/packages/test-driver/src/lib/record-spread.test.ts
@@ -68,6 +68,26 @@
 	return (counters![counterName] as number | undefined) ?? 0;
 }
 
+async function controlConnections(of: readonly string[]): Promise<number> {
+	const states = await Promise.all(of.map(async name => driver.state(name)));
+	return states.flatMap(state => (state.distribution!.overlay as {control: unknown[]}).control).length;
+}
+
+/** Waits until the nodes have closed their silent control connections. */
+async function waitUntilCutOff(of: readonly string[]): Promise<void> {
+	const endAt = Date.now() + limitMilliseconds;
+	while (Date.now() < endAt) {
+		const connections = await controlConnections(of);
+		if (connections === 0) {
+			return;
+		}
+
+		await delay(50);
+	}
+
+	throw new Error('nodes still have control connections across the cut');
+}
+
 async function kill(name: string): Promise<void> {
 	driver.instance(name).process.kill('SIGKILL');
 	await delay(50);
@@ -95,25 +115,32 @@
 		await waitForRevision(publish(2003), names.filter(name => !dead.includes(name)));
 	});
 
-	it('stay in force while the platform is down, and a restarted node gets them from its bootstrap peers', async () => {
-		const peers: Array<{host: string; port: number}> = [];
+	it('stay in force while the platform is down, and a restarted node gets them from its neighbours', async () => {
 		await startFleet();
-		for (const name of names.slice(0, 2)) {
-			const [host, port] = driver.instance(name).peerAddress.split(':') as [string, string];
-			peers.push({host, port: Number(port)});
-		}
-
 		const revision = publish(2004);
 		await waitForRevision(revision);
 		driver.platform.setAvailable(false);
 		await kill('racks-6');
-		driver.changeSettings('racks-6', {bootstrapPeers: peers});
 		await driver.restart('racks-6');
 		await waitForRevision(revision);
 		driver.platform.setAvailable(true);
 		await waitForRevision(publish(2005));
 	});
 
+	it('reach a node that no neighbour knows from its bootstrap peers while the platform is down', async () => {
+		await startFleet();
+		await kill('racks-6');
+		const instances = names.slice(0, 5).map(name => ({...driver.instance(name).fleetEntry, state: 'live'}));
+		driver.platform.publish('fleet', JSON.stringify({schemaVersion: 1, instances}));
+		const revision = publish(2012);
+		await waitForRevision(revision, names.slice(0, 5));
+		driver.platform.setAvailable(false);
+		const [host, port] = driver.instance('racks-1').peerAddress.split(':') as [string, string];
+		driver.changeSettings('racks-6', {bootstrapPeers: [{host, port: Number(port)}]});
+		await driver.restart('racks-6');
+		await waitForRevision(revision);
+	});
+
 	it('do not go back in a restarted node when the platform answers with an older record', async () => {
 		await startFleet();
 		const stale = {revision: 1, value: policyOf(2006)};
@@ -190,6 +217,7 @@
 		const watching = await watchers();
 		await waitForRevision(revision, watching.filter(name => domainOf(name) === 'akl-a'));
 		const cutOff = names.filter(name => domainOf(name) === 'akl-b');
+		await waitUntilCutOff(cutOff);
 		expect(await policyRevisions(cutOff)).toEqual(cutOff.map(() => before));
 		for (const relay of relays) {
 			relay.heal();
