node: End with a clear message and status, handle every rejection

Cause: a node that could not take its last listener's address stayed alive with the others open; a missing file and a bad setting had the same status; zod's texts did not name what was found; nothing caught unhandled rejections.

--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -17,6 +17,8 @@
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
 import {CallerListener} from './caller-listener.js';
+import {FatalErrors} from './fatal-errors.js';
+import {startListener} from './listen-error.js';
 import {NodeIdentity} from './node-identity.js';
 import {OperatorListener} from './operator-listener.js';
 import {PauseDetector} from './pause-detector.js';
@@ -49,10 +51,14 @@
 	const logs = container.resolve(Logs);
 	const running = new AbortController();
 
-	await container.resolve(PeerServer).listen(settings.listen.peers.host, settings.listen.peers.port);
-	await container.resolve(TargetListener).listen(settings.listen.target);
-	await container.resolve(OperatorListener).listen(settings.listen.operators);
-	await container.resolve(CallerListener).listen(settings.listen.callers);
+	const fatalErrors = container.resolve(FatalErrors);
+	fatalErrors.install();
+
+	const {peers, target, operators, callers} = settings.listen;
+	await startListener('peers', peers, async () => container.resolve(PeerServer).listen(peers.host, peers.port));
+	await startListener('target', target, async () => container.resolve(TargetListener).listen(target));
+	await startListener('operators', operators, async () => container.resolve(OperatorListener).listen(operators));
+	await startListener('callers', callers, async () => container.resolve(CallerListener).listen(callers));
 	void container.resolve(RecordDistributor).run(running.signal);
 	self.leaving.addEventListener('abort', () => {
 		logs.info('leaving the fleet');
@@ -74,6 +80,7 @@
 			running.abort();
 			await closeAll(container);
 			logs.info('node stopped');
+			fatalErrors.remove();
 			finish();
 		},
 	};
@@ -89,6 +96,7 @@
 	const self = register(NodeIdentity, new NodeIdentity(settings));
 	const logs = register(Logs, new Logs('hemlockthread-node', settings.logLevel, {instance: settings.instance}));
 	const metrics = register(Metrics, new Metrics({...settings.statsd, tags: {instance: settings.instance, service: settings.service}}));
+	register(FatalErrors, new FatalErrors(logs, metrics));
 	const clock = new ProcessClock();
 	const authority = new IdentityAuthority(settings.identityKeys);
 	const store = register(RecordStore, new RecordStore());
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -2,5 +2,5 @@
  * The settings of a node, read from a JSON file and checked at start.
  */
 export {
-	loadSettings, parseSettings, type NodeSettings, type ListenAddress,
+	checkSettings, loadSettings, nodeSettingsSchema, SettingsFileError, parseSettings, type NodeSettings, type ListenAddress,
 } from './lib/node-settings.js';
--- a/packages/settings/src/lib/node-settings.ts
+++ b/packages/settings/src/lib/node-settings.ts
@@ -2,69 +2,107 @@
  * The schema of a node's settings.
  */
 import {readFileSync} from 'node:fs';
+import {isIP, isIPv6} from 'node:net';
+import {
+	checkDocument, faultAt, formatFaults, type DocumentCheck,
+} from '@hemlockthread/documents';
 import {SettingsError} from '@hemlockthread/verdict';
 import {z} from 'zod';
 
-const addressSchema = z.strictObject({
-	/** IP number to listen on. */
-	host: z.union([z.ipv4(), z.ipv6()]),
-	port: z.int().min(1).max(65_535),
-});
+/**
+ * A settings file that can't be read.
+ *
+ * @public
+ */
+export const SettingsFileError = SettingsError.subclass('SettingsFileError');
+
+const maximumSettingsBytes = 100_000;
 
-const nodeSettingsSchema = z.strictObject({
-	instance: z.string().min(1),
-	service: z.string().min(1),
-	failureDomain: z.string().min(1),
-	region: z.string().min(1),
+const host = z.union([z.ipv4(), z.ipv6()], 'an IP number');
+const port = z.int().min(1).max(65_535);
+const addressSchema = z.strictObject({host, port});
+
+const name = (description: string) => z.string().regex(/^[a-zA-Z0-9][a-zA-Z0-9_.\-]{0,127}$/v, 'a name of 1 to 128 letters, digits, "_", "." and "-"')
+	.meta({description});
+
+const httpUrl = (description: string) => z.string().refine(isHttpUrl, {error: 'an http URL whose host is an IP number', abort: true})
+	.meta({description, format: 'uri'});
+
+const listener = (description: string) => addressSchema.meta({description});
+
+const fieldsSchema = z.strictObject({
+	instance: name('Name of this instance, as in the fleet list.'),
+	service: name('Service that the target beside this node belongs to.'),
+	failureDomain: name('Failure domain of this instance.'),
+	region: name('Region of this instance.'),
 	listen: z.strictObject({
-		callers: addressSchema, target: addressSchema, peers: addressSchema, operators: addressSchema,
+		callers: listener('HTTP for callers.'),
+		target: listener('HTTP for the own target only; a loopback address.'),
+		peers: listener('WebSocket for other nodes; the address in the fleet list, so not a wildcard.'),
+		operators: listener('HTTP for operators: state dump, readiness and explanations.'),
 	}),
-	/** Base URL of the target beside this node. */
-	targetUrl: z.url(),
-	/** Requests that the target works on at once. */
-	targetSlots: z.int().min(1).max(100_000),
-	/** Base URL of the configuration service. */
-	platformUrl: z.url(),
-	identityKeys: z.array(z.strictObject({id: z.string().min(1), secret: z.string().min(32)})).min(1),
-	statsd: z.strictObject({host: z.union([z.ipv4(), z.ipv6()]), port: z.int().min(1).max(65_535)}).optional(),
-	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
-	/** Time for which calls in progress may go on after SIGTERM. */
-	shutdownGraceMilliseconds: z.int().min(0).max(600_000).default(30_000),
-	/** Switches admission, levels and retry limits off, as the baseline in measurements. */
-	controls: z.enum(['on', 'off']).default('on'),
+	targetUrl: httpUrl('Base URL of the target beside this node.'),
+	targetSlots: z.int().min(1).max(100_000).meta({description: 'Requests that the target works on at once.'}),
+	platformUrl: httpUrl('Base URL of the configuration service.'),
+	identityKeys: z.array(z.strictObject({
+		id: name('Key id, sent in identities.'),
+		secret: z.string().min(32).max(1024).meta({description: 'Shared secret, the same at every node for the same id.'}),
+	})).min(1).max(16).meta({description: 'Keys of operation identities; the first one signs, all verify.'}),
+	statsd: addressSchema.optional().meta({description: 'UDP address of the StatsD receiver; without it no metrics are sent.'}),
+	logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').meta({description: 'Least severe log lines written.'}),
+	shutdownGraceMilliseconds: z.int().min(0).max(600_000).default(30_000)
+		.meta({description: 'Time for which calls in progress may go on after SIGTERM. Milliseconds.'}),
+	controls: z.enum(['on', 'off']).default('on')
+		.meta({description: 'Switches admission, levels and retry limits off, as the baseline in measurements.'}),
 });
 
+type Fields = z.output<typeof fieldsSchema>;
+type Issues = {addIssue(issue: ReturnType<typeof faultAt>): void};
+type UsedAddress = {path: Array<string | number>; host: string; port: number};
+
+const wildcards = new Set(['0.0.0.0', '::']);
+
 /** @public */
-export type NodeSettings = z.infer<typeof nodeSettingsSchema>;
+export const nodeSettingsSchema = fieldsSchema.superRefine((settings, context) => {
+	checkListeners(settings, context);
+	checkClashes(settings, context);
+	checkKeys(settings, context);
+}).meta({title: 'hemlockthread node settings'});
+
+/** @public */
+export type NodeSettings = Fields;
 
 /** @public */
 export type ListenAddress = z.infer<typeof addressSchema>;
 
 /**
- * Checks settings. Unknown keys are errors.
+ * Checks settings and lists their faults. Unknown keys are faults.
+ *
+ * @public
+ */
+export function checkSettings(text: string): DocumentCheck<NodeSettings> {
+	return checkDocument(text, {maximumBytes: maximumSettingsBytes, schema: nodeSettingsSchema});
+}
+
+/**
+ * Parses settings.
  *
  * @throws SettingsError listing each fault with its path.
  * @public
  */
 export function parseSettings(text: string): NodeSettings {
-	let value: unknown;
-	try {
-		value = JSON.parse(text);
-	} catch (error) {
-		throw new SettingsError('settings are not JSON', {cause: error});
+	const check = checkSettings(text);
+	if (!check.valid) {
+		throw new SettingsError(`settings are invalid\n${formatFaults(check.faults)}`);
 	}
 
-	const result = nodeSettingsSchema.safeParse(value);
-	if (!result.success) {
-		throw new SettingsError(z.prettifyError(result.error));
-	}
-
-	return result.data;
+	return check.value;
 }
 
 /**
  * Reads settings from a file.
  *
+ * @throws SettingsFileError when the file can't be read, SettingsError when its content is invalid.
  * @public
  */
 export function loadSettings(path: string): NodeSettings {
@@ -72,8 +110,61 @@
 	try {
 		text = readFileSync(path, 'utf8');
 	} catch (error) {
-		throw new SettingsError(`settings file ${path} can't be read`, {cause: error});
+		throw new SettingsFileError(`settings file ${path} can't be read: ${(error as Error).message}`);
 	}
 
 	return parseSettings(text);
 }
+
+function isHttpUrl(text: string): boolean {
+	const url = URL.parse(text);
+	return url?.protocol === 'http:' && isIP(hostOf(url)) !== 0;
+}
+
+function hostOf(url: URL): string {
+	return url.hostname.replaceAll(/[\[\]]/gv, '');
+}
+
+function checkListeners({listen}: Fields, context: Issues): void {
+	if (wildcards.has(listen.peers.host)) {
+		context.addIssue(faultAt(['listen', 'peers', 'host'], 'the address at which peers reach this node', `the wildcard ${listen.peers.host}`));
+	}
+
+	if (!listen.target.host.startsWith('127.') && listen.target.host !== '::1') {
+		context.addIssue(faultAt(['listen', 'target', 'host'], 'a loopback address', listen.target.host));
+	}
+}
+
+/** Two listeners, or a listener and a URL that this node calls, can't have the same address. */
+function checkClashes(settings: Fields, context: Issues): void {
+	const used: UsedAddress[] = Object.entries(settings.listen).map(([key, address]) => ({path: ['listen', key], ...address}));
+	used.push({path: ['targetUrl'], ...addressOf(settings.targetUrl)}, {path: ['platformUrl'], ...addressOf(settings.platformUrl)});
+	for (const [index, address] of used.entries()) {
+		const earlier = used.slice(0, index).find(other => clash(other, address));
+		if (earlier !== undefined) {
+			context.addIssue(faultAt(address.path, `an address other than that of /${earlier.path.join('/')}`, `${address.host} port ${address.port}`));
+		}
+	}
+}
+
+function clash(first: UsedAddress, second: UsedAddress): boolean {
+	return first.port === second.port && (first.host === second.host || coversAll(first.host, second.host) || coversAll(second.host, first.host));
+}
+
+/** The wildcard of IPv6 also takes IPv4 connections. */
+function coversAll(wildcard: string, address: string): boolean {
+	return wildcard === '::' || (wildcard === '0.0.0.0' && !isIPv6(address));
+}
+
+function addressOf(url: string): {host: string; port: number} {
+	const parsed = new URL(url);
+	return {host: hostOf(parsed), port: parsed.port === '' ? 80 : Number(parsed.port)};
+}
+
+function checkKeys({identityKeys}: Fields, context: Issues): void {
+	for (const [index, key] of identityKeys.entries()) {
+		if (identityKeys.findIndex(other => other.id === key.id) < index) {
+			context.addIssue(faultAt(['identityKeys', index, 'id'], 'each key id once', `"${key.id}" again`));
+		}
+	}
+}
--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -318,6 +318,14 @@
 			this.send({
 				type: 'answer', identifier: frame.identifier, ...answer, leaving: this.local.isLeaving(), sentAt: performance.now(), heard: this.clock.heard,
 			});
+		} catch {
+			// The handler failed at an unknown point, so the call may have run.
+			this.metrics.count('peer.request.failed');
+			this.send({
+				type: 'answer', identifier: frame.identifier, verdict: Verdict.mayHaveRun, reason: RefusalReason.targetFailed, status: 0,
+				headers: {}, body: new Uint8Array(0), retriesReturned: 0, level: 0,
+				leaving: this.local.isLeaving(), sentAt: performance.now(), heard: this.clock.heard,
+			});
 		} finally {
 			this.incoming.delete(frame.identifier);
 		}
--- a/packages/wire/src/lib/peer-server.ts
+++ b/packages/wire/src/lib/peer-server.ts
@@ -85,9 +85,10 @@
 	const socket = new WebSocket(`ws://${address}`, {
 		perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes, handshakeTimeout: connectTimeoutMilliseconds,
 	});
+	// Listens before the socket opens: the peer's hello can arrive together with the end of the handshake.
+	const connection = new PeerConnection(socket, local, handlers, metrics, true);
 	try {
 		await once(socket, 'open');
-		const connection = new PeerConnection(socket, local, handlers, metrics, true);
 		void connection.run();
 		await connection.ready();
 		return connection;
