--- a/packages/wire/src/lib/peer-server.ts
+++ b/packages/wire/src/lib/peer-server.ts
@@ -37,6 +37,8 @@
 		const server = new WebSocketServer({
 			server: listener, perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes,
 		});
+		// ws repeats the listener's errors; `listen` rejects with them.
+		server.on('error', () => undefined);
 		server.on('connection', socket => {
 			this.accept(socket);
 		});
