Measure a peer's silence from the first call that waits for it

Cause: a connection idle for over 3 s was closed at the next check when a call was in progress at that moment, because the silence was counted from the last frame before the idle time. Seen as a withdrawal that ended as may-have-run in 2 of 4 runs of the process tests on a loaded machine. Change: silence counts from the last frame or from the first waiting call, whichever is later. Measured: the new test in packages/wire fails with the old rule (may-have-run, connection-lost) and passes with the new.

--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -9,7 +9,7 @@
 export {encodeFrame, decodeFrame} from './lib/codec.js';
 export {LinkClock} from './lib/link-clock.js';
 export {
-	PeerConnection, connectionOptions, type PeerHandlers, type RequestBody, type AnswerBody, type LocalPeer,
+	PeerConnection, connectionOptions, type ConnectionOptions, type PeerHandlers, type RequestBody, type AnswerBody, type LocalPeer,
 	type IncomingRequest,
 } from './lib/peer-connection.js';
 export {PeerServer, dialPeer} from './lib/peer-server.js';
--- a/packages/wire/src/lib/peer-connection.test.ts
+++ b/packages/wire/src/lib/peer-connection.test.ts
@@ -4,14 +4,15 @@
  */
 import {once} from 'node:events';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
 import {Metrics} from '@hemlockthread/telemetry';
 import {Packr} from 'msgpackr';
 import {WebSocketServer, type WebSocket} from 'ws';
-import type {
-	LocalPeer, PeerConnection, PeerHandlers, RequestBody,
+import {
+	connectionOptions, type ConnectionOptions, type LocalPeer, type PeerConnection, type PeerHandlers, type RequestBody,
 } from './peer-connection.js';
 import {dialPeer} from './peer-server.js';
 
@@ -45,7 +46,7 @@
 let connection: PeerConnection;
 let metrics: Metrics;
 
-async function connectTo(peerHello: object): Promise<void> {
+async function connectTo(peerHello: object, options: ConnectionOptions = connectionOptions): Promise<void> {
 	server = new WebSocketServer({host: '127.0.0.1', port: 0});
 	await once(server, 'listening');
 	server.once('connection', accepted => {
@@ -53,7 +54,7 @@
 		accepted.send(packr.pack(peerHello));
 	});
 	metrics = new Metrics();
-	connection = await dialPeer(`127.0.0.1:${(server.address() as AddressInfo).port}`, local, handlers, metrics);
+	connection = await dialPeer(`127.0.0.1:${(server.address() as AddressInfo).port}`, local, handlers, metrics, options);
 }
 
 function answerAllWith(answers: (identifier: number) => object[]): void {
@@ -111,6 +112,18 @@
 	});
 });
 
+describe('a connection that was idle for longer than the silence limit', () => {
+	it('is not closed while the first call after it waits for its answer', async () => {
+		const options = {...connectionOptions, heartbeatMilliseconds: 50, silenceLimitMilliseconds: 2000};
+		await connectTo(hello, options);
+		await delay(options.silenceLimitMilliseconds + options.heartbeatMilliseconds);
+		const call = callText();
+		await delay(4 * options.heartbeatMilliseconds);
+		socket.send(packr.pack(answerTo(0, 'after the idle time')));
+		expect(await call).toBe('after the idle time');
+	});
+});
+
 describe('malformed frames', () => {
 	it.each([
 		{name: 'not msgpack', bytes: Uint8Array.from([0xC1, 0xFF, 0x00])},
--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -29,6 +29,9 @@
 	maximumRequests: 4096,
 } as const;
 
+/** @public */
+export type ConnectionOptions = Record<keyof typeof connectionOptions, number>;
+
 /** What the local node tells its peers about itself. @public */
 export type LocalPeer = {
 	instance: string;
@@ -88,6 +91,8 @@
 
 	private nextIdentifier = 0;
 	private lastReceivedAt = performance.now();
+	/** Since when an answer is owed by the peer. */
+	private waitingSince = performance.now();
 	private readonly pending = new Map<number, PendingCall>();
 	private readonly incoming = new Map<number, AbortController>();
 	private readonly clock = new LinkClock();
@@ -135,6 +140,7 @@
 		private readonly handlers: PeerHandlers,
 		private readonly metrics: Metrics,
 		private readonly dialled: boolean,
+		private readonly options: ConnectionOptions = connectionOptions,
 	) {
 		this.helloReceived = new Promise(resolve => {
 			this.acceptHello = resolve;
@@ -189,7 +195,7 @@
 	async ready(): Promise<HelloFrame> {
 		return Promise.race([
 			this.helloReceived,
-			this.failAfter(connectionOptions.helloTimeoutMilliseconds),
+			this.failAfter(this.options.helloTimeoutMilliseconds),
 		]);
 	}
 
@@ -199,8 +205,8 @@
 	 * @throws CallError with `did-not-run` when nothing was sent, else with `may-have-run`.
 	 */
 	async call(body: RequestBody, signal: AbortSignal): Promise<AnswerFrame> {
-		if (!this.usable || this.pending.size >= connectionOptions.maximumRequests
-			|| this.socket.bufferedAmount > connectionOptions.maximumBufferedBytes) {
+		if (!this.usable || this.pending.size >= this.options.maximumRequests
+			|| this.socket.bufferedAmount > this.options.maximumBufferedBytes) {
 			throw callError('no usable connection to the peer', Verdict.didNotRun, RefusalReason.connectionLost);
 		}
 
@@ -210,6 +216,10 @@
 
 		const identifier = this.nextIdentifier++;
 		this.lastUsedAt = performance.now();
+		if (this.pending.size === 0) {
+			this.waitingSince = this.lastUsedAt;
+		}
+
 		return new Promise<AnswerFrame>((resolve, reject) => {
 			const onAbort = () => {
 				this.pending.delete(identifier);
@@ -304,7 +314,7 @@
 
 	private async receiveRequest(frame: RequestFrame, receivedAt: number): Promise<void> {
 		const ageMilliseconds = this.clock.age(frame.sentAt, frame.heard, receivedAt);
-		if (this.incoming.has(frame.identifier) || this.incoming.size >= connectionOptions.maximumRequests) {
+		if (this.incoming.has(frame.identifier) || this.incoming.size >= this.options.maximumRequests) {
 			this.metrics.count('peer.request.dropped');
 			return;
 		}
@@ -354,22 +364,23 @@
 	private async watchPeer(): Promise<void> {
 		let checkedAt = performance.now();
 		while (!this.closing.signal.aborted) {
-			await delay(connectionOptions.heartbeatMilliseconds, undefined, {signal: this.closing.signal, ref: false});
+			await delay(this.options.heartbeatMilliseconds, undefined, {signal: this.closing.signal, ref: false});
 			const now = performance.now();
-			const pausedHere = now - checkedAt > 2 * connectionOptions.heartbeatMilliseconds;
+			const pausedHere = now - checkedAt > 2 * this.options.heartbeatMilliseconds;
 			checkedAt = now;
 			if (!this.control && this.pending.size === 0) {
 				continue;
 			}
 
-			const silence = now - this.lastReceivedAt;
+			// Silence while nothing was asked of the peer says nothing.
+			const silence = now - (this.control ? this.lastReceivedAt : Math.max(this.lastReceivedAt, this.waitingSince));
 			// After a pause of this process the silence says nothing about the peer.
-			if (!pausedHere && silence > connectionOptions.silenceLimitMilliseconds) {
+			if (!pausedHere && silence > this.options.silenceLimitMilliseconds) {
 				this.metrics.count('peer.silent');
 				return;
 			}
 
-			if (this.control || silence > connectionOptions.heartbeatMilliseconds) {
+			if (this.control || silence > this.options.heartbeatMilliseconds) {
 				this.sendHeartbeat(!this.control);
 			}
 		}
--- a/packages/wire/src/lib/peer-server.ts
+++ b/packages/wire/src/lib/peer-server.ts
@@ -7,7 +7,9 @@
 import type {Metrics} from '@hemlockthread/telemetry';
 import {WebSocket, WebSocketServer} from 'ws';
 import {frameLimits} from './frames.js';
-import {PeerConnection, type LocalPeer, type PeerHandlers} from './peer-connection.js';
+import {
+	PeerConnection, connectionOptions, type ConnectionOptions, type LocalPeer, type PeerHandlers,
+} from './peer-connection.js';
 
 const connectTimeoutMilliseconds = 1000;
 const maximumIncomingConnections = 2048;
@@ -92,12 +94,18 @@
  * @throws CallError with `did-not-run` when the peer can't be reached.
  * @public
  */
-export async function dialPeer(address: string, local: LocalPeer, handlers: PeerHandlers, metrics: Metrics): Promise<PeerConnection> {
+export async function dialPeer(
+	address: string,
+	local: LocalPeer,
+	handlers: PeerHandlers,
+	metrics: Metrics,
+	options: ConnectionOptions = connectionOptions,
+): Promise<PeerConnection> {
 	const socket = new WebSocket(`ws://${address}`, {
 		perMessageDeflate: false, maxPayload: frameLimits.maximumFrameBytes, handshakeTimeout: connectTimeoutMilliseconds,
 	});
 	// Listens for messages from the start: the peer's hello may arrive in the same packet as the end of the handshake.
-	const connection = new PeerConnection(socket, local, handlers, metrics, true);
+	const connection = new PeerConnection(socket, local, handlers, metrics, true, options);
 	try {
 		await once(socket, 'open');
 		void connection.run();
