--- a/packages/settings/src/lib/node-settings.ts
+++ b/packages/settings/src/lib/node-settings.ts
@@ -44,6 +44,8 @@
 	targetUrl: httpUrl('Base URL of the target beside this node.'),
 	targetSlots: z.int().min(1).max(100_000).meta({description: 'Requests that the target works on at once.'}),
 	platformUrl: httpUrl('Base URL of the configuration service.'),
+	bootstrapPeers: z.array(addressSchema).max(64).default([])
+		.meta({description: 'Peer listeners of other nodes, asked at start until a fleet list is known.'}),
 	identityKeys: z.array(z.strictObject({
 		id: name('Key id, sent in identities.'),
 		secret: z.string().min(32).max(1024).meta({description: 'Shared secret, the same at every node for the same id.'}),
