Adapt the admission limit and derive the level from queueing

Cause: admission was a fixed limit with a list, without deadline refusal, expiry by service time, level or cold start. Change: limit policies behind a lookup table (fixed, delay-gradient, additive-increase, throughput-probing), bounded priority queue, service times by kind, refusal and expiry of calls that can't finish, level from queueing time, jittered retry-after, cold-start ramp, health share, FIFO baseline with the controls off, and a comparison in virtual time on three fake targets.

--- /dev/null
+++ b/packages/admission/src/lib/admission-controller.test.ts
@@ -0,0 +1,379 @@
+/**
+ * Admission: which calls reach the target, in which order, and what the others are told. Time is virtual.
+ */
+import fc from 'fast-check';
+import {describe, expect, it} from 'vitest';
+import {
+	AdmissionController, admissionOptions, type Admission, type AdmissionOptions, type ReleaseOutcome,
+} from './admission-controller.js';
+import {VirtualClock} from './measurement/virtual-clock.js';
+
+const seed = 7;
+const rank = 128;
+
+type Asked = {priority?: number; lifetime?: number; kind?: string; signal?: AbortSignal};
+
+/** A controller under a virtual clock, and what each call was told. */
+class Bench {
+	readonly clock = new VirtualClock();
+	readonly controller: AdmissionController;
+	readonly told: Array<string | undefined> = [];
+	readonly admissions: Array<Admission | undefined> = [];
+
+	constructor(options: Partial<AdmissionOptions> = {}) {
+		this.controller = new AdmissionController({
+			...admissionOptions, limitPolicy: 'fixed', slots: 1, clock: this.clock, seed, ...options,
+		});
+	}
+
+	async ask({priority = 0, lifetime = 1000, kind = 'browse', signal = new AbortController().signal}: Asked = {}): Promise<number> {
+		const index = this.told.length;
+		this.told.push(undefined);
+		this.admissions.push(undefined);
+		void (async () => {
+			const admission = await this.controller.admit({
+				kind, rootKind: kind, priority, deadlineAt: this.clock.now() + lifetime, signal,
+			});
+			this.admissions[index] = admission;
+			this.told[index] = admission.admitted ? 'admitted' : admission.reason;
+		})();
+
+		await this.settle();
+		return index;
+	}
+
+	async release(index: number, outcome: ReleaseOutcome = 'ok'): Promise<void> {
+		const admission = this.admissions[index];
+		if (admission?.admitted === true) {
+			admission.release(outcome);
+		}
+
+		await this.settle();
+	}
+
+	/** Runs calls one after another that take a set time each, so that the service time is known. */
+	async learn(milliseconds: number, calls: number, outcome: ReleaseOutcome = 'ok'): Promise<void> {
+		for (let call = 0; call < calls; call += 1) {
+			const index = await this.ask({lifetime: 100_000});
+			await this.pass(milliseconds);
+			await this.release(index, outcome);
+		}
+	}
+
+	async pass(milliseconds: number): Promise<void> {
+		await this.clock.runUntil(this.clock.now() + milliseconds);
+		await this.settle();
+	}
+
+	dump(): Record<string, unknown> {
+		return this.controller.dump() as Record<string, unknown>;
+	}
+
+	private async settle(): Promise<void> {
+		await this.clock.runUntil(this.clock.now());
+		for (let turn = 0; turn < 8; turn += 1) {
+			await Promise.resolve();
+		}
+	}
+}
+
+describe('what callers are told', () => {
+	const cancelled = new AbortController();
+	cancelled.abort();
+	const cases: Array<{failure: string; options?: Partial<AdmissionOptions>; run: (bench: Bench) => Promise<void>; told: Array<string | undefined>}> = [
+		{
+			failure: 'a call beyond the limit reaches the target',
+			async run(bench) {
+				await bench.ask();
+				await bench.ask();
+			},
+			told: ['admitted', undefined],
+		},
+		{
+			failure: 'a low priority starts before a higher one that came later',
+			async run(bench) {
+				const first = await bench.ask();
+				await bench.ask({priority: 1});
+				await bench.ask({priority: rank});
+				await bench.release(first);
+			},
+			told: ['admitted', undefined, 'admitted'],
+		},
+		{
+			failure: 'an overflow evicts a higher priority than the lowest',
+			options: {maximumQueued: 2},
+			async run(bench) {
+				await bench.ask();
+				await bench.ask({priority: 5});
+				await bench.ask({priority: 3});
+				await bench.ask({priority: 4});
+			},
+			told: ['admitted', undefined, 'overloaded', undefined],
+		},
+		{
+			failure: 'a call of the lowest priority displaces an equal one that waited longer',
+			options: {maximumQueued: 1},
+			async run(bench) {
+				await bench.ask();
+				await bench.ask({priority: 3});
+				await bench.ask({priority: 3});
+			},
+			told: ['admitted', undefined, 'overloaded'],
+		},
+		{
+			failure: 'a queued call outlives its deadline',
+			async run(bench) {
+				await bench.ask();
+				await bench.ask({lifetime: 50});
+				await bench.pass(51);
+			},
+			told: ['admitted', 'deadline-exceeded'],
+		},
+		{
+			failure: 'a call that is already past its deadline takes a slot',
+			async run(bench) {
+				await bench.ask({lifetime: -1});
+			},
+			told: ['deadline-exceeded'],
+		},
+		{
+			failure: 'a cancelled call is queued',
+			async run(bench) {
+				await bench.ask();
+				await bench.ask({signal: cancelled.signal});
+			},
+			told: ['admitted', 'cancelled'],
+		},
+		{
+			failure: 'a call that is cancelled while it waits keeps its place',
+			async run(bench) {
+				const cancellation = new AbortController();
+				const first = await bench.ask();
+				await bench.ask({signal: cancellation.signal});
+				await bench.ask();
+				cancellation.abort();
+				await bench.release(first);
+			},
+			told: ['admitted', 'cancelled', 'admitted'],
+		},
+		{
+			failure: 'a call queues although its service time exceeds its deadline',
+			async run(bench) {
+				await bench.learn(100, 1);
+				await bench.ask({lifetime: 1000});
+				await bench.ask({lifetime: 80});
+			},
+			told: ['admitted', 'admitted', 'cannot-finish-in-time'],
+		},
+		{
+			failure: 'a call queues although queue and service time together exceed its deadline',
+			async run(bench) {
+				await bench.learn(100, 1);
+				await bench.ask({lifetime: 1000});
+				await bench.ask({priority: 9, lifetime: 1000});
+				await bench.ask({priority: 1, lifetime: 250});
+				await bench.ask({priority: 10, lifetime: 250});
+			},
+			told: ['admitted', 'admitted', undefined, 'cannot-finish-in-time', undefined],
+		},
+		{
+			failure: 'a queued call starts although it can no longer finish',
+			async run(bench) {
+				await bench.learn(100, 1);
+				const first = await bench.ask({lifetime: 1000});
+				await bench.ask({lifetime: 300});
+				await bench.pass(250);
+				await bench.release(first);
+			},
+			told: ['admitted', 'admitted', 'cannot-finish-in-time'],
+		},
+		{
+			failure: 'an estimate that is too high refuses every call for good',
+			async run(bench) {
+				await bench.learn(500, 1);
+				await bench.ask({lifetime: 80});
+				await bench.ask({lifetime: 80});
+			},
+			told: ['admitted', 'admitted', 'cannot-finish-in-time'],
+		},
+		{
+			failure: 'with the controls off, priority or deadline matter',
+			options: {controls: 'off', maximumQueued: 1},
+			async run(bench) {
+				await bench.learn(100, 1);
+				const first = await bench.ask();
+				await bench.ask({lifetime: 1});
+				await bench.ask({priority: rank, lifetime: 1});
+				await bench.pass(1000);
+				await bench.release(first);
+			},
+			told: ['admitted', 'admitted', 'admitted', undefined],
+		},
+	];
+
+	it.each(cases)('guards against: $failure', async ({options, run, told}) => {
+		const bench = new Bench(options);
+		await run(bench);
+		expect(bench.told).toEqual(told);
+	});
+
+	it('frees a slot only once when a call is released twice', async () => {
+		const bench = new Bench();
+		const first = await bench.ask();
+		await bench.ask();
+		await bench.ask();
+		await bench.release(first);
+		await bench.release(first);
+		expect(bench.told).toEqual(['admitted', 'admitted', undefined]);
+	});
+
+	it('spreads the retry-after of refusals, so that callers do not return together', async () => {
+		const bench = new Bench({maximumQueued: 0});
+		await bench.ask();
+		for (let call = 0; call < 50; call += 1) {
+			await bench.ask();
+		}
+
+		const waits = bench.admissions.flatMap(admission => admission?.admitted === false ? [admission.retryAfterMilliseconds] : []);
+		expect(new Set(waits).size).toBeGreaterThan(40);
+		expect(Math.min(...waits)).toBeGreaterThanOrEqual(admissionOptions.minimumRetryAfterMilliseconds);
+		expect(Math.max(...waits)).toBeLessThanOrEqual(admissionOptions.minimumRetryAfterMilliseconds * 2);
+	});
+});
+
+describe('limit', () => {
+	const cases: Array<{failure: string; options?: Partial<AdmissionOptions>; run: (bench: Bench) => Promise<void>; limit: number}> = [
+		{
+			failure: 'a cold target gets its full load at once',
+			options: {coldStartRampMilliseconds: () => 1000},
+			run: async bench => bench.pass(5000),
+			limit: 10,
+		},
+		{
+			failure: 'the ramp does not rise',
+			options: {coldStartRampMilliseconds: () => 1000},
+			run: async bench => bench.learn(500, 1),
+			limit: 55,
+		},
+		{
+			failure: 'the ramp does not end',
+			options: {coldStartRampMilliseconds: () => 1000},
+			run: async bench => bench.learn(500, 2),
+			limit: 100,
+		},
+		{
+			failure: 'a target that fails every call keeps its load',
+			run: async bench => bench.learn(1, 120, 'failed'),
+			limit: 1,
+		},
+		{
+			failure: 'a few failures cost slots',
+			async run(bench) {
+				await bench.learn(1, 10, 'failed');
+				await bench.learn(1, 10);
+			},
+			limit: 100,
+		},
+		{
+			failure: 'calls that their callers gave up count as failures of the target',
+			run: async bench => bench.learn(1, 120, 'abandoned'),
+			limit: 100,
+		},
+		{
+			failure: 'a target that was down gets its full load at its first answer',
+			options: {coldStartRampMilliseconds: () => 100_000},
+			async run(bench) {
+				await bench.pass(100_000);
+				await bench.learn(1, 120, 'failed');
+				await bench.learn(1, 100);
+			},
+			limit: 10,
+		},
+		{
+			failure: 'the limit adapts although the controls are off',
+			options: {controls: 'off', limitPolicy: 'delay-gradient', coldStartRampMilliseconds: () => 1000},
+			run: async bench => bench.learn(1, 120, 'failed'),
+			limit: 100,
+		},
+	];
+
+	it.each(cases)('guards against: $failure', async ({options, run, limit}) => {
+		const bench = new Bench({slots: 100, ...options});
+		await run(bench);
+		expect(bench.dump()).toMatchObject({limit});
+	});
+});
+
+describe('level', () => {
+	/** One slot, 100 ms per call: one waiting call is bearable, the others are not. */
+	async function overloaded(): Promise<Bench> {
+		const bench = new Bench();
+		await bench.learn(100, 1);
+		await bench.ask();
+		for (const priority of [rank, 2 * rank, 3 * rank]) {
+			await bench.ask({priority, lifetime: 5000});
+		}
+
+		await bench.pass(60);
+		return bench;
+	}
+
+	it('rises to the first priority that waits too long and refuses below it', async () => {
+		const bench = await overloaded();
+		expect(bench.controller.level).toBe(2 * rank);
+		const below = await bench.ask({priority: (2 * rank) - 1, lifetime: 5000});
+		const above = await bench.ask({priority: 2 * rank, lifetime: 5000});
+		expect([bench.told[below], bench.told[above]]).toEqual(['overloaded', undefined]);
+	});
+
+	it('falls to zero once the queue is short, also when no call comes', async () => {
+		const bench = await overloaded();
+		for (let index = 1; index <= 4; index += 1) {
+			await bench.release(index);
+		}
+
+		await bench.pass(1000);
+		expect(bench.controller.level).toBe(0);
+	});
+
+	it('stays zero with the controls off', async () => {
+		const bench = new Bench({controls: 'off'});
+		await bench.learn(100, 1);
+		for (let call = 0; call < 200; call += 1) {
+			await bench.ask({priority: call});
+		}
+
+		await bench.pass(500);
+		expect(bench.controller.level).toBe(0);
+	});
+
+	it('never sheds a higher worth rank while it would take a lower one (property)', async () => {
+		const step = fc.oneof(
+			fc.record({type: fc.constant('ask' as const), priority: fc.integer({min: 0, max: 5 * rank})}),
+			fc.record({type: fc.constant('pass' as const), milliseconds: fc.integer({min: 1, max: 200})}),
+			fc.record({type: fc.constant('release' as const)}),
+		);
+		await fc.assert(fc.asyncProperty(fc.array(step, {maxLength: 60}), async steps => {
+			const bench = new Bench({slots: 2, maximumQueued: 4});
+			await bench.learn(50, 1);
+			const waiting = new Map<number, number>();
+			for (const step of steps) {
+				if (step.type === 'ask') {
+					waiting.set(await bench.ask({priority: step.priority, lifetime: 1_000_000}), step.priority);
+				} else if (step.type === 'pass') {
+					await bench.pass(step.milliseconds);
+				} else {
+					await bench.release(bench.told.findLastIndex((told, index) => told === 'admitted' && waiting.delete(index)));
+				}
+
+				const left = [...waiting].filter(([index]) => bench.told[index] === undefined).map(([, priority]) => priority);
+				for (const [index, priority] of waiting) {
+					if (bench.told[index] === 'overloaded') {
+						expect(Math.min(...left)).toBeGreaterThanOrEqual(priority);
+						waiting.delete(index);
+					}
+				}
+			}
+		}), {seed, numRuns: 100});
+	});
+});
--- /dev/null
+++ b/packages/admission/src/lib/measurement/fake-target.ts
@@ -0,0 +1,101 @@
+/**
+ * In-process targets with known capacity, for the comparison of limit policies.
+ */
+import type {VirtualClock} from './virtual-clock.js';
+
+/** @internal */
+export type TargetModel = {
+	/** Share of the published slots at which throughput is highest. */
+	usableShare: number;
+	/** True where calls beyond the usable share wait inside the target in order of arrival. */
+	queues: boolean;
+	/** Exponent of the slow-down beyond the usable share; 0 where concurrency has no effect. */
+	contention: number;
+};
+
+/** @internal */
+export const targetModels = {
+	/** Works on all published slots at full speed. */
+	truthful: {usableShare: 1, queues: false, contention: 0},
+	/** Works on a third of its slots and queues the rest. */
+	queueing: {usableShare: 1 / 3, queues: true, contention: 0},
+	/** Loses throughput beyond half of its slots. */
+	contended: {usableShare: 1 / 2, queues: false, contention: 1.5},
+} as const satisfies Record<string, TargetModel>;
+
+/** @internal */
+export type TargetModelName = keyof typeof targetModels;
+
+type Work = {milliseconds: number; startedAt?: number; cancel?: () => void; finish(workedMilliseconds: number): void};
+
+/** @internal */
+export class FakeTarget {
+	/** Factor on all service times, independent of concurrency, as from a slow service below the target. */
+	slowness = 1;
+	/** Time spent on calls that were given up. */
+	wastedMilliseconds = 0;
+	usefulMilliseconds = 0;
+	private readonly running = new Set<Work>();
+	private readonly waiting: Work[] = [];
+	private readonly usable: number;
+
+	constructor(private readonly clock: VirtualClock, private readonly model: TargetModel, slots: number) {
+		this.usable = Math.max(1, Math.floor(slots * model.usableShare));
+	}
+
+	/** Calls that the target works on best at once. */
+	get usableSlots(): number {
+		return this.usable;
+	}
+
+	/** Begins a call; returns a function that gives it up. */
+	begin(milliseconds: number, finish: (workedMilliseconds: number) => void): () => void {
+		const work: Work = {milliseconds, finish};
+		if (this.model.queues && this.running.size >= this.usable) {
+			this.waiting.push(work);
+		} else {
+			this.run(work);
+		}
+
+		return () => {
+			this.giveUp(work);
+		};
+	}
+
+	/** Counts finished work as wasted because its answer came too late. */
+	disown(milliseconds: number): void {
+		this.usefulMilliseconds -= milliseconds;
+		this.wastedMilliseconds += milliseconds;
+	}
+
+	private run(work: Work): void {
+		this.running.add(work);
+		work.startedAt = this.clock.now();
+		const factor = Math.max(1, this.running.size / this.usable) ** this.model.contention;
+		work.cancel = this.clock.schedule(work.milliseconds * this.slowness * factor, () => {
+			const workedMilliseconds = this.clock.now() - work.startedAt!;
+			this.usefulMilliseconds += workedMilliseconds;
+			this.end(work);
+			work.finish(workedMilliseconds);
+		});
+	}
+
+	private giveUp(work: Work): void {
+		if (work.startedAt === undefined) {
+			this.waiting.splice(this.waiting.indexOf(work), 1);
+			return;
+		}
+
+		work.cancel!();
+		this.wastedMilliseconds += this.clock.now() - work.startedAt;
+		this.end(work);
+	}
+
+	private end(work: Work): void {
+		this.running.delete(work);
+		const next = this.waiting.shift();
+		if (next !== undefined) {
+			this.run(next);
+		}
+	}
+}
--- /dev/null
+++ b/packages/admission/src/lib/measurement/load-run.ts
@@ -0,0 +1,213 @@
+/**
+ * One run of a load against a fake target behind an admission controller, in virtual time.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {AdmissionController, admissionOptions, type AdmissionOptions} from '../admission-controller.js';
+import {FakeTarget, targetModels, type TargetModelName} from './fake-target.js';
+import {VirtualClock} from './virtual-clock.js';
+
+/** Kinds of the load, the most valuable first. At 10 times the capacity the first alone asks for 80% of it. */
+const kinds = [
+	{
+		name: 'withdrawal', worth: 100, rank: 3, share: 0.08, lifetimeMilliseconds: 1500,
+	},
+	{
+		name: 'intake-view', worth: 20, rank: 2, share: 0.12, lifetimeMilliseconds: 1000,
+	},
+	{
+		name: 'browse', worth: 5, rank: 1, share: 0.8, lifetimeMilliseconds: 1000,
+	},
+] as const;
+
+const prioritiesPerRank = 128;
+const serviceMilliseconds = 20;
+const rampMilliseconds = 1000;
+const windowMilliseconds = 100;
+/** Windows that together must reach the recovered share, so that one lucky window is not a recovery. */
+const recoveryWindows = 10;
+const recoveredShare = 0.95;
+
+/** @internal */
+export const phases = [
+	{
+		name: 'calm', milliseconds: 3000, overloaded: false, slowness: 1,
+	},
+	{
+		name: 'overload', milliseconds: 5000, overloaded: true, slowness: 1,
+	},
+	{
+		name: 'slow', milliseconds: 5000, overloaded: true, slowness: 10,
+	},
+	{
+		name: 'recovery', milliseconds: 5000, overloaded: true, slowness: 1,
+	},
+] as const;
+
+/** @internal */
+export type PhaseName = (typeof phases)[number]['name'];
+
+/** @internal */
+export type PhaseResult = {
+	/** Worth of the whole answers given in the phase, as a share of what the target could earn at most. */
+	goodput: number;
+	/** Share of the top kind's calls begun in the phase that were answered. */
+	topServed: number;
+};
+
+/** @internal */
+export type LoadResult = {
+	phases: Record<PhaseName, PhaseResult>;
+	/** Share of the target's work that was spent on calls that failed. */
+	wasted: number;
+	/** Time after the slow spell from which goodput is back to 95% and stays there on average; infinite where it did not come back. */
+	recoveryMilliseconds: number;
+};
+
+/** @internal */
+export type LoadPlan = {
+	target: TargetModelName;
+	slots: number;
+	overload: number;
+	seed: number;
+	admission: Pick<AdmissionOptions, 'limitPolicy' | 'controls'>;
+};
+
+type Tally = {worth: number; top: number; topAnswered: number};
+
+/** Runs one load. @internal */
+export async function runLoad(plan: LoadPlan): Promise<LoadResult> {
+	return new LoadRun(plan).run();
+}
+
+class LoadRun {
+	private readonly clock = new VirtualClock();
+	private readonly random: ReturnType<typeof xoroshiro128plus>;
+	private readonly target: FakeTarget;
+	private readonly admission: AdmissionController;
+	/** Calls per millisecond that the target answers at its best. */
+	private readonly capacity: number;
+	private readonly tallies = new Map<PhaseName, Tally>();
+	private readonly worthByWindow: number[] = [];
+	private phase: (typeof phases)[number] = phases[0];
+
+	constructor(private readonly plan: LoadPlan) {
+		this.random = xoroshiro128plus(plan.seed);
+		this.target = new FakeTarget(this.clock, targetModels[plan.target], plan.slots);
+		this.capacity = this.target.usableSlots / serviceMilliseconds;
+		this.admission = new AdmissionController({
+			...admissionOptions, ...plan.admission, slots: plan.slots, clock: this.clock, seed: plan.seed,
+			coldStartRampMilliseconds: () => rampMilliseconds,
+		});
+	}
+
+	async run(): Promise<LoadResult> {
+		this.scheduleArrival();
+		let end = 0;
+		for (const phase of phases) {
+			this.phase = phase;
+			this.target.slowness = phase.slowness;
+			this.tallies.set(phase.name, {worth: 0, top: 0, topAnswered: 0});
+			end += phase.milliseconds;
+			await this.clock.runUntil(end);
+		}
+
+		const {wastedMilliseconds, usefulMilliseconds} = this.target;
+		return {
+			phases: Object.fromEntries(phases.map(phase => [phase.name, this.result(phase)])) as Record<PhaseName, PhaseResult>,
+			wasted: wastedMilliseconds / (wastedMilliseconds + usefulMilliseconds),
+			recoveryMilliseconds: this.recovery(),
+		};
+	}
+
+	private rate(phase: (typeof phases)[number]): number {
+		return this.capacity * (phase.overloaded ? this.plan.overload : 0.8);
+	}
+
+	private scheduleArrival(): void {
+		const wait = -Math.log(1 - uniformFloat64(this.random)) / this.rate(this.phase);
+		this.clock.schedule(wait, () => {
+			void this.call();
+			this.scheduleArrival();
+		});
+	}
+
+	private pickKind(): (typeof kinds)[number] {
+		let position = uniformFloat64(this.random);
+		return kinds.find(kind => {
+			position -= kind.share;
+			return position < 0;
+		}) ?? kinds[0];
+	}
+
+	private async call(): Promise<void> {
+		const kind = this.pickKind();
+		const tally = this.tallies.get(this.phase.name)!;
+		const isTop = kind === kinds[0];
+		tally.top += isTop ? 1 : 0;
+		const cancellation = new AbortController();
+		const deadlineAt = this.clock.now() + kind.lifetimeMilliseconds;
+		const milliseconds = serviceMilliseconds * (0.5 + uniformFloat64(this.random));
+		const priority = (kind.rank * prioritiesPerRank) + Math.floor(uniformFloat64(this.random) * prioritiesPerRank);
+		const admission = await this.admission.admit({
+			kind: kind.name, rootKind: kind.name, priority, deadlineAt, signal: cancellation.signal,
+		});
+		if (!admission.admitted) {
+			return;
+		}
+
+		const giveUp = this.target.begin(milliseconds, workedMilliseconds => {
+			cancelDeadline();
+			admission.release('ok');
+			if (this.clock.now() > deadlineAt) {
+				this.target.disown(workedMilliseconds);
+				return;
+			}
+
+			this.tallies.get(this.phase.name)!.worth += kind.worth;
+			tally.topAnswered += isTop ? 1 : 0;
+			const window = Math.floor(this.clock.now() / windowMilliseconds);
+			this.worthByWindow[window] = (this.worthByWindow[window] ?? 0) + kind.worth;
+		});
+		// The baseline neither expires nor cancels what it began.
+		const cancelDeadline = this.plan.admission.controls === 'off'
+			? () => undefined
+			: this.clock.schedule(Math.max(0, deadlineAt - this.clock.now()), () => {
+				giveUp();
+				admission.release('failed');
+			});
+	}
+
+	/** Worth per millisecond that the target can earn at most in a phase. */
+	private ideal(phase: (typeof phases)[number]): number {
+		let left = this.capacity / phase.slowness;
+		let worth = 0;
+		for (const kind of kinds) {
+			const served = Math.min(left, this.rate(phase) * kind.share);
+			left -= served;
+			worth += served * kind.worth;
+		}
+
+		return worth;
+	}
+
+	private result(phase: (typeof phases)[number]): PhaseResult {
+		const tally = this.tallies.get(phase.name)!;
+		return {goodput: tally.worth / (this.ideal(phase) * phase.milliseconds), topServed: tally.topAnswered / tally.top};
+	}
+
+	private recovery(): number {
+		const recovery = phases.at(-1)!;
+		const end = this.clock.now() / windowMilliseconds;
+		const begin = end - (recovery.milliseconds / windowMilliseconds);
+		const needed = this.ideal(recovery) * windowMilliseconds * recoveredShare;
+		const worthOf = (first: number, last?: number) => this.worthByWindow.slice(first, last).reduce((sum, worth) => sum + worth, 0);
+		for (let window = begin; window <= end - recoveryWindows; window += 1) {
+			if (worthOf(window, window + recoveryWindows) >= needed * recoveryWindows && worthOf(window) >= needed * (end - window)) {
+				return (window - begin) * windowMilliseconds;
+			}
+		}
+
+		return Number.POSITIVE_INFINITY;
+	}
+}
--- /dev/null
+++ b/packages/admission/src/lib/service-times.ts
@@ -0,0 +1,86 @@
+/**
+ * Service times of a target by kind, observed by its own node.
+ */
+
+const meanWeight = 0.1;
+/** Deviations added to the mean, so that most calls finish within the estimate. */
+const deviations = 2;
+/** Kinds come from the policy; the bound guards against a policy that changes its names all the time. */
+const maximumKinds = 256;
+
+/** @internal */
+export class ServiceTime {
+	/** Calls of this kind that wait or are at the target. */
+	pending = 0;
+	private mean: number | undefined;
+	private excess = 0;
+
+	/** Mean time at the target in milliseconds; 0 while unknown. */
+	get average(): number {
+		return this.mean ?? 0;
+	}
+
+	/** Time within which most calls finish, in milliseconds; 0 while unknown. */
+	get estimate(): number {
+		return this.average + (this.excess * deviations);
+	}
+
+	/**
+	 * Takes a call into account. Only the excess above the mean counts as deviation: a symmetric deviation would raise
+	 * the estimate when a slow target becomes fast again.
+	 */
+	observe(milliseconds: number): void {
+		if (this.mean === undefined) {
+			this.mean = milliseconds;
+			return;
+		}
+
+		this.excess += (Math.max(0, milliseconds - this.mean) - this.excess) * meanWeight;
+		this.mean += (milliseconds - this.mean) * meanWeight;
+	}
+
+	/** Takes a call into account that ended before the target finished it: it would have needed at least this long. */
+	observeAtLeast(milliseconds: number): void {
+		if (milliseconds > this.average) {
+			this.observe(milliseconds);
+		}
+	}
+}
+
+/**
+ * Holds the service time of each kind and of all kinds together.
+ *
+ * @internal
+ */
+export class ServiceTimes {
+	readonly overall = new ServiceTime();
+	private readonly kinds = new Map<string, ServiceTime>();
+
+	of(kind: string): ServiceTime {
+		const held = this.kinds.get(kind);
+		if (held !== undefined) {
+			return held;
+		}
+
+		if (this.kinds.size >= maximumKinds) {
+			this.forgetOne();
+		}
+
+		const created = new ServiceTime();
+		this.kinds.set(kind, created);
+		return created;
+	}
+
+	dump(): Record<string, number> {
+		return Object.fromEntries([...this.kinds].map(([kind, time]) => [kind, Math.round(time.average)]));
+	}
+
+	private forgetOne(): void {
+		for (const [kind, time] of this.kinds) {
+			if (time.pending === 0) {
+				this.kinds.delete(kind);
+				return;
+			}
+		}
+	}
+}
