--- a/packages/identity/src/lib/identity-authority.ts
+++ b/packages/identity/src/lib/identity-authority.ts
@@ -32,6 +32,8 @@
 
 /** @public */
 export type MintRequest = {
+	/** Operation id; a random one by default. */
+	operation?: string;
 	service: string;
 	kind: string;
 	executor: string;
@@ -59,9 +61,9 @@
 	}
 
 	mint(request: MintRequest, now: number): string {
-		const {lifetimeMilliseconds, ...claims} = request;
+		const {lifetimeMilliseconds, operation = randomUUID(), ...claims} = request;
 		return this.sign({
-			...claims, operation: randomUUID(), issuedAt: now, expiresAt: now + lifetimeMilliseconds, generation: 0,
+			...claims, operation, issuedAt: now, expiresAt: now + lifetimeMilliseconds, generation: 0,
 		});
 	}
 
@@ -97,7 +99,7 @@
 }
 
 const textClaims = ['operation', 'service', 'kind', 'executor', 'executorAddress', 'incarnation', 'failureDomain'] as const;
-const numberClaims = ['issuedAt', 'expiresAt', 'generation'] as const;
+const timeClaims = ['issuedAt', 'expiresAt'] as const;
 
 function isIdentity(payload: unknown): payload is OperationIdentity {
 	if (typeof payload !== 'object' || payload === null) {
@@ -106,5 +108,6 @@
 
 	const claims = payload as Record<string, unknown>;
 	return textClaims.every(name => typeof claims[name] === 'string')
-		&& numberClaims.every(name => Number.isFinite(claims[name]));
+		&& timeClaims.every(name => Number.isFinite(claims[name]))
+		&& Number.isSafeInteger(claims.generation) && Number(claims.generation) >= 0;
 }
--- a/packages/identity/src/lib/retry-allowance.ts
+++ b/packages/identity/src/lib/retry-allowance.ts
@@ -14,7 +14,8 @@
 	private remainingRetries: number;
 
 	constructor(retries: number) {
-		this.remainingRetries = Math.max(0, Math.trunc(retries));
+		// The number may come from a peer's frame.
+		this.remainingRetries = Number.isSafeInteger(retries) ? Math.max(0, retries) : 0;
 	}
 
 	get remaining(): number {
@@ -31,9 +32,12 @@
 		return true;
 	}
 
-	/** Takes out half of what remains, rounded down, for one leg. */
+	/**
+	 * Takes out half of what remains, rounded up, for one leg. Rounding up leaves the last retry to the deepest node, where
+	 * a repeat costs least.
+	 */
 	split(): number {
-		const share = Math.floor(this.remainingRetries / 2);
+		const share = Math.ceil(this.remainingRetries / 2);
 		this.remainingRetries -= share;
 		return share;
 	}
--- a/packages/node/src/lib/call.ts
+++ b/packages/node/src/lib/call.ts
@@ -39,6 +39,8 @@
 	depth: number;
 	message: CallMessage;
 	allowance: RetryAllowance;
+	/** True for a repeated attempt: its legs were attempted before, so each of them takes a retry as well. */
+	repeated: boolean;
 	identity?: {token: string; claims: OperationIdentity};
 	signal: AbortSignal;
 };
@@ -56,6 +58,8 @@
 	level: number;
 	nextIdentity?: string;
 	retryAfterMilliseconds?: number;
+	/** True for a failure of the sending node before anything left for the peer. */
+	unsent?: true;
 };
 
 const emptyBody = new Uint8Array(0);
--- a/packages/node/src/lib/http-server.ts
+++ b/packages/node/src/lib/http-server.ts
@@ -1,14 +1,35 @@
 /**
  * hapi servers with the least work per request: raw bodies, no cookies, no compression.
  */
-import {server as createServer, type Server, type ServerRoute} from '@hapi/hapi';
+import {createServer as createHttpServer} from 'node:http';
+import {
+	server as createServer, type Request, type ResponseToolkit, type Server, type ServerRoute,
+} from '@hapi/hapi';
+import {Verdict} from '@hemlockthread/verdict';
 import {frameLimits} from '@hemlockthread/wire';
+import {Header} from './call.js';
 
-const payloadTimeoutMilliseconds = 10_000;
+const firstServerError = 500;
+/** Limits of one connection; a sender that is slower or larger is refused without cost to others. */
+const connectionLimits = {
+	payloadTimeoutMilliseconds: 5000,
+	headersTimeoutMilliseconds: 5000,
+	maximumHeaderBytes: 16 * 1024,
+	/** How often the limits on headers are checked. */
+	checkIntervalMilliseconds: 1000,
+	maximumConnections: 4096,
+} as const;
 
 /** Creates a server that listens on an IP number. @public */
 export async function startHttpServer(address: {host: string; port: number}, routes: ServerRoute[]): Promise<Server> {
+	const listener = createHttpServer({
+		maxHeaderSize: connectionLimits.maximumHeaderBytes,
+		headersTimeout: connectionLimits.headersTimeoutMilliseconds,
+		connectionsCheckingInterval: connectionLimits.checkIntervalMilliseconds,
+	});
+	listener.maxConnections = connectionLimits.maximumConnections;
 	const httpServer = createServer({
+		listener,
 		host: address.host,
 		port: address.port,
 		compression: false,
@@ -16,13 +37,28 @@
 		routes: {
 			state: {parse: false, failAction: 'ignore'},
 			payload: {
-				parse: false, output: 'data', maxBytes: frameLimits.maximumBodyBytes, timeout: payloadTimeoutMilliseconds,
+				parse: false, output: 'data', maxBytes: frameLimits.maximumBodyBytes, timeout: connectionLimits.payloadTimeoutMilliseconds,
 			},
 			security: false,
 			cors: false,
 		},
 	});
+	httpServer.ext('onPreResponse', addVerdictToErrors);
 	httpServer.route(routes);
 	await httpServer.start();
 	return httpServer;
 }
+
+/**
+ * Errors that hapi makes itself, such as an unknown path or a body over the limit, come before the handler, so nothing
+ * ran. An exception in a handler leaves that open.
+ */
+function addVerdictToErrors(request: Request, toolkit: ResponseToolkit): symbol {
+	const {response} = request;
+	if ('isBoom' in response) {
+		const verdict = response.output.statusCode < firstServerError ? Verdict.didNotRun : Verdict.mayHaveRun;
+		response.output.headers[Header.verdict] = verdict;
+	}
+
+	return toolkit.continue;
+}
