Add stateful fuzzing of the outcome rules

Change: packages/fuzz runs the node's managers in simulated fleets with virtual time, a network that delays, reorders, duplicates, loses and cuts, and targets that shed, crash, repeat and lose contexts; an oracle compares what callers were told with what targets ran. `npm run fuzz` searches, shrinks and prints a replay. Identity keys are key objects, because jsonwebtoken read each text secret as a PEM key first. A downstream call of an ended parent is may-have-run.

--- /dev/null
+++ b/packages/fuzz/src/bin/fuzz.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/**
+ * `npm run fuzz -- --seed N --runs N`: searches worlds, prints a shrunk case and the command that replays it.
+ */
+/* eslint new-cap: ["error", {"capIsNewExceptions": ["Command.Usage", "Option.String"]}] */
+import process from 'node:process';
+import {
+	Builtins, Cli, Command, Option,
+} from 'clipanion';
+import {search, type SearchResult} from '../lib/search.js';
+
+class FuzzCommand extends Command {
+	static override paths = [Command.Default];
+	static override usage = Command.Usage({
+		description: 'Search for broken promises: doubled runs, false verdicts, attempts beyond the total, wrong answers',
+		examples: [['Search 1,000 worlds', 'npm run fuzz -- --seed 1 --runs 1000']],
+	});
+
+	seed = Option.String('--seed', '1', {description: 'seed of the first batch; later batches use the following seeds'});
+	runs = Option.String('--runs', '1000', {description: 'worlds to try'});
+	batch = Option.String('--batch', '1000', {description: 'worlds tried with one seed'});
+	casePath = Option.String('--path', {description: 'replays one case of a search with this seed'});
+	replayPath = Option.String('--replay-path', {description: 'replays the shrunk commands of that case'});
+
+	async execute(): Promise<number> {
+		const total = {worlds: 0, steps: 0, arrivals: 0};
+		const runs = this.casePath === undefined ? Number(this.runs) : 1;
+		for (let seed = Number(this.seed); total.worlds < runs; seed += 1) {
+			const result = await search({
+				seed, runs: Math.min(Number(this.batch), runs - total.worlds), path: this.casePath, replayPath: this.replayPath,
+			});
+			total.worlds += result.worlds;
+			total.steps += result.steps;
+			total.arrivals += result.arrivals;
+			if (result.failure !== undefined) {
+				this.report(seed, result.failure);
+				return 1;
+			}
+		}
+
+		this.context.stdout.write(`worlds ${total.worlds}, steps ${total.steps}, arrivals at targets ${total.arrivals}, violations 0\n`);
+		return 0;
+	}
+
+	private report(seed: number, failure: NonNullable<SearchResult['failure']>): void {
+		const replay = failure.replayPath === undefined ? '' : ` --replay-path "${failure.replayPath}"`;
+		this.context.stdout.write([
+			failure.message, `commands: ${failure.counterexample}`, `replay: npm run fuzz -- --seed ${seed} --path ${failure.path}${replay}`, '',
+		].join('\n'));
+	}
+}
+
+const cli = new Cli({binaryLabel: 'hemlockthread fuzz', binaryName: 'npm run fuzz --'});
+cli.register(FuzzCommand);
+cli.register(Builtins.HelpCommand);
+process.exitCode = await cli.run(process.argv.slice(2));
--- a/packages/identity/src/lib/identity-authority.ts
+++ b/packages/identity/src/lib/identity-authority.ts
@@ -1,7 +1,8 @@
 /**
  * Mints and verifies operation identities: signed tokens that name the one executor of an irreversible operation.
  */
-import {randomUUID} from 'node:crypto';
+import {Buffer} from 'node:buffer';
+import {createSecretKey, randomUUID, type KeyObject} from 'node:crypto';
 import jsonwebtoken from 'jsonwebtoken';
 
 /** @public */
@@ -52,10 +53,11 @@
  * @public
  */
 export class IdentityAuthority {
-	private readonly secrets: Map<string, string>;
+	/** Key objects, because jsonwebtoken tries to read a secret given as text as a PEM key on each call, which costs about 1 ms. */
+	private readonly secrets: Map<string, KeyObject>;
 
 	constructor(private readonly keys: readonly IdentityKey[]) {
-		this.secrets = new Map(keys.map(key => [key.id, key.secret]));
+		this.secrets = new Map(keys.map(key => [key.id, createSecretKey(Buffer.from(key.secret))]));
 	}
 
 	mint(request: MintRequest, now: number): string {
@@ -88,11 +90,12 @@
 
 	private sign(identity: OperationIdentity): string {
 		const key = this.keys[0];
-		if (key === undefined) {
+		const secret = this.secrets.get(key?.id ?? '');
+		if (key === undefined || secret === undefined) {
 			throw new RangeError('no identity key is configured');
 		}
 
-		return jsonwebtoken.sign(identity, key.secret, {algorithm, keyid: key.id, noTimestamp: true});
+		return jsonwebtoken.sign(identity, secret, {algorithm, keyid: key.id, noTimestamp: true});
 	}
 }
 
--- a/packages/node/src/lib/downstream-calls.ts
+++ b/packages/node/src/lib/downstream-calls.ts
@@ -53,14 +53,17 @@
 		const {service, message} = request;
 		const kind = this.policy.current?.kind(request.kind);
 		if (kind === undefined) {
-			return refusedNow(this.policy.current === undefined ? RefusalReason.notReady : RefusalReason.unknownKind);
+			// The kind may have left the policy after an earlier attempt of the leg.
+			const verdict = request.context === undefined ? Verdict.didNotRun : Verdict.mayHaveRun;
+			return refusal(verdict, this.policy.current === undefined ? RefusalReason.notReady : RefusalReason.unknownKind);
 		}
 
 		const parent = this.parentOf(request, kind);
 		if (parent === undefined && request.context !== undefined) {
-			// The call that the reference names has ended, so nobody waits for this leg and no account can pay for it.
+			// The call that the reference names has ended, so nobody waits for this leg and no account can pay for it. What its
+			// earlier attempts did is forgotten.
 			this.metrics.count('call.parent-ended');
-			return refusedNow(RefusalReason.contextMissing);
+			return refusal(Verdict.mayHaveRun, RefusalReason.contextMissing);
 		}
 
 		if (parent === undefined) {
