--- /dev/null
+++ b/packages/node/src/lib/outcome-rules.test.ts
@@ -0,0 +1,339 @@
+/**
+ * Verdicts and attempts of single nodes, each with the false statement or doubled run that it guards against.
+ */
+import {Buffer} from 'node:buffer';
+import {setImmediate as turn} from 'node:timers/promises';
+import {IdentityAuthority, ProcessClock, RetryAllowance} from '@hemlockthread/identity';
+import type {FleetInstance} from '@hemlockthread/membership';
+import {OperationTable} from '@hemlockthread/operations';
+import {PolicyRecord} from '@hemlockthread/policy';
+import type {Candidate} from '@hemlockthread/routing';
+import {CallError, RefusalReason, Verdict} from '@hemlockthread/verdict';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import {CallExecutor} from './call-executor.js';
+import {CallForwarder} from './call-forwarder.js';
+import {CallRegistry, type CallInProgress} from './call-registry.js';
+import {refusal, type Call, type CallResult} from './call.js';
+import type {PeerDirectory, TargetSender} from './collaborators.js';
+import {DownstreamCalls, type DownstreamCall} from './downstream-calls.js';
+import {RootCalls} from './root-calls.js';
+import type {TargetAnswer} from './target-client.js';
+
+const kind = (name: string, irreversible: boolean) => ({
+	name, worth: 1, protected: false, irreversible, retries: 2, lifetimeMilliseconds: 1000,
+});
+const policy = {
+	current: new PolicyRecord({
+		schemaVersion: 1, identityLifetimeMilliseconds: 60_000, coldStartRampMilliseconds: 0,
+		kinds: [kind('withdrawal', true), kind('record', true), kind('view', false)],
+	}),
+};
+const authority = new IdentityAuthority([{id: 'test', secret: 'a secret for tests with 32 characters or more'}]);
+const clock = new ProcessClock();
+const metrics = {
+	count() {
+		// Not looked at here.
+	},
+};
+const self = {
+	instance: 'releases-1', service: 'releases', incarnation: 'i', leaving: new AbortController().signal,
+	leave() {
+		// Not looked at here.
+	},
+};
+const instance = (name: string): FleetInstance => ({
+	name, service: 'releases', failureDomain: 'a', region: 'r', peerAddress: name, callerAddress: '', operatorAddress: '', slots: 1, state: 'live',
+});
+const admission = {
+	level: 0,
+	admit: async () => ({
+		admitted: true as const, release() {
+			// Slots are not counted here.
+		},
+	}),
+};
+const whole = (body = 'done'): TargetAnswer => ({
+	verdict: Verdict.ran, status: 200, headers: {}, body: Buffer.from(body), level: 0, leaving: false,
+});
+const unreachable: PeerDirectory = {
+	async connect() {
+		throw new CallError('refused', {props: {verdict: Verdict.didNotRun, reason: RefusalReason.connectionLost}});
+	},
+};
+
+let registry: CallRegistry;
+let runs: string[];
+let onRun: (call: Call, inProgress: CallInProgress) => Promise<TargetAnswer>;
+let instances: FleetInstance[];
+
+beforeEach(() => {
+	registry = new CallRegistry();
+	runs = [];
+	instances = [instance('releases-1')];
+	onRun = async () => whole();
+});
+
+const target: TargetSender = {
+	async send(call, inProgress) {
+		runs.push(call.kind);
+		return onRun(call, inProgress);
+	},
+};
+
+function node(pool: PeerDirectory = unreachable, {current}: {current?: PolicyRecord} = policy) {
+	const executor = new CallExecutor(self, {current}, admission, new OperationTable(self, clock), registry, authority, target, metrics);
+	const forwarder = new CallForwarder(self, {current}, {
+		instance: name => instances.find(candidate => candidate.name === name), hasService: () => true,
+	}, {
+		choose({exclude}) {
+			const found = instances.find(candidate => !exclude.has(candidate.name));
+			return found === undefined ? 'no-target' : candidateOf(found);
+		},
+		begin: candidateOf,
+	}, pool, executor, authority, clock, metrics);
+	return {
+		executor, forwarder, roots: new RootCalls({current}, forwarder, authority), downstream: new DownstreamCalls({current}, forwarder, registry, metrics),
+	};
+}
+
+function candidateOf(found: FleetInstance): Candidate {
+	return {
+		instance: found,
+		finish() {
+			// Nothing is learnt here.
+		},
+	};
+}
+
+function mint(executor = 'releases-1', kindName = 'withdrawal', incarnation = 'i'): string {
+	return authority.mint({
+		service: 'releases', kind: kindName, executor, executorAddress: executor, incarnation, failureDomain: 'a', lifetimeMilliseconds: 60_000,
+	}, clock.now());
+}
+
+const message = (body = 'bottle 12') => ({
+	method: 'POST', path: '', headers: {}, body: Buffer.from(body),
+});
+
+async function call(current: ReturnType<typeof node>, kindName: string, token?: string, signal = new AbortController().signal): Promise<CallResult> {
+	return current.roots.call({
+		service: 'releases', kind: kindName, message: message(), idempotencyKey: token, remainingMilliseconds: Number.NaN, possibleWaitMilliseconds: 0,
+		signal,
+	});
+}
+
+function leg(changes: Partial<DownstreamCall>): DownstreamCall {
+	return {
+		service: 'releases', kind: 'record', message: message('leg'), context: undefined, traceParent: undefined, step: undefined,
+		signal: new AbortController().signal, ...changes,
+	};
+}
+
+const aborted = () => {
+	const controller = new AbortController();
+	controller.abort();
+	return controller.signal;
+};
+
+describe('an identified call is not told did-not-run by a node that does not know its earlier attempts', () => {
+	it.each<[string, () => Promise<CallResult>]>([
+		['the executor is not reachable', async () => call(node(), 'withdrawal', mint('releases-2'))],
+		['the call was cancelled before it was sent', async () => call(node({
+			connect: async () => ({
+				remote: undefined, remoteLeaving: false, async call() {
+					throw new CallError('cancelled', {props: {verdict: Verdict.didNotRun, reason: RefusalReason.cancelled}});
+				},
+			}),
+		}), 'withdrawal', mint('releases-2'))],
+		['its key is unknown here', async () => call(node(), 'withdrawal', 'a.b.c')],
+		['it was minted for another kind', async () => call(node(), 'withdrawal', mint('releases-1', 'record'))],
+		['the kind is not in the policy', async () => call(node(), 'unheard-of', mint())],
+		['there is no policy', async () => call(node(unreachable, {}), 'withdrawal', mint())],
+		['it names an earlier incarnation', async () => call(node(), 'withdrawal', mint('releases-1', 'withdrawal', 'earlier'))],
+	])('%s', async (_name, make) => {
+		expect(await make()).toMatchObject({verdict: 'may-have-run'});
+		expect(runs).toEqual([]);
+	});
+});
+
+describe('an identified call', () => {
+	it('runs once also where the policy calls its kind repeatable', async () => {
+		const current = node();
+		const token = mint('releases-1', 'view');
+		await call(current, 'view', token);
+		await call(current, 'view', token);
+		expect(runs).toEqual(['view']);
+	});
+
+	it('that is cancelled before it starts does not run at the own target', async () => {
+		expect(await call(node(), 'withdrawal', mint(), aborted())).toMatchObject({verdict: 'did-not-run', reason: 'cancelled'});
+		expect(runs).toEqual([]);
+	});
+
+	it('that joined a run which the target declined is told at once and gets the newest identity', async () => {
+		let decline!: (answer: TargetAnswer) => void;
+		onRun = async () => new Promise(resolve => {
+			decline = resolve;
+		});
+		const current = node();
+		const token = mint();
+		const first = call(current, 'withdrawal', token);
+		const second = call(current, 'withdrawal', token);
+		await turn();
+		decline({...whole(), declared: Verdict.didNotRun});
+		expect(await first).toMatchObject({verdict: 'did-not-run'});
+		const joined = await second;
+		expect(joined).toMatchObject({verdict: 'did-not-run', reason: 'identity-superseded'});
+		onRun = async () => whole();
+		expect(await call(current, 'withdrawal', joined.nextIdentity)).toMatchObject({verdict: 'ran'});
+	});
+
+	it('whose HTTP client throws is lost and does not stay running', async () => {
+		onRun = async () => {
+			throw new TypeError('invalid character in header');
+		};
+
+		const current = node();
+		const token = mint();
+		expect(await call(current, 'withdrawal', token)).toMatchObject({verdict: 'may-have-run'});
+		expect(await call(current, 'withdrawal', token)).toMatchObject({verdict: 'may-have-run', reason: 'outcome-unknown'});
+		expect(registry.size).toBe(0);
+	});
+});
+
+describe('a reversible call', () => {
+	it('that runs out of retries after a lost attempt is not told did-not-run', async () => {
+		instances = ['releases-1', 'releases-2', 'releases-3', 'releases-4'].map(name => instance(name));
+		const answers = [Verdict.mayHaveRun, Verdict.didNotRun, Verdict.didNotRun];
+		onRun = async () => ({...refusal(answers.shift()!, RefusalReason.targetFailed), leaving: false});
+		const peers: PeerDirectory = {
+			connect: async () => ({
+				remote: undefined, remoteLeaving: false, async call() {
+					throw new CallError('failed', {props: {verdict: answers.shift()!, reason: RefusalReason.targetFailed}});
+				},
+			}),
+		};
+		expect(await call(node(peers), 'view')).toMatchObject({verdict: 'may-have-run'});
+		expect(answers).toEqual([]);
+	});
+});
+
+describe('a downstream call', () => {
+	/** Runs a parent whose target makes the leg while it works on the parent. */
+	async function within(parentKind: string, make: (inProgress: CallInProgress, current: ReturnType<typeof node>) => Promise<CallResult>) {
+		let result: CallResult | undefined;
+		const current = node();
+		onRun = async (parent, inProgress) => {
+			if (parent.kind === parentKind) {
+				result = await make(inProgress, current);
+			}
+
+			return whole();
+		};
+
+		const token = parentKind === 'view' ? undefined : mint();
+		const parent = await call(current, parentKind, token);
+		return {result: result!, parent, current};
+	}
+
+	it('of a parent that may be repeated is refused where it is irreversible', async () => {
+		const {result} = await within('view', async ({reference}, current) => current.downstream.call(leg({context: reference})));
+		expect(result).toMatchObject({verdict: 'did-not-run', reason: 'parent-reversible'});
+		expect(runs).toEqual(['view']);
+	});
+
+	it('without context is never attached where it is irreversible', async () => {
+		const {result} = await within('withdrawal', async (_inProgress, current) => current.downstream.call(leg({})));
+		expect(result).toMatchObject({verdict: 'did-not-run', reason: 'context-missing'});
+	});
+
+	it('without context is attached to the only call in progress where it is reversible', async () => {
+		await within('withdrawal', async ({legs}, current) => {
+			const result = await current.downstream.call(leg({kind: 'view'}));
+			expect(legs.size).toBe(1);
+			return result;
+		});
+	});
+
+	it('without context is not attached once a target may work on an abandoned call', async () => {
+		const current = node();
+		onRun = async () => ({...refusal(Verdict.mayHaveRun, RefusalReason.targetFailed), leaving: false});
+		await call(current, 'withdrawal', mint());
+		onRun = async (parent, {legs}) => {
+			if (parent.kind === 'withdrawal') {
+				await current.downstream.call(leg({kind: 'view'}));
+				expect(legs.size).toBe(0);
+			}
+
+			return whole();
+		};
+
+		expect(await call(current, 'withdrawal', mint())).toMatchObject({verdict: 'ran'});
+	});
+
+	it('of a parent that has ended is refused without a statement about its earlier attempts', async () => {
+		let reference = '';
+		const {current} = await within('withdrawal', async inProgress => {
+			reference = inProgress.reference;
+			return refusal(Verdict.didNotRun, RefusalReason.noTarget);
+		});
+		runs = [];
+		expect(await current.downstream.call(leg({context: reference}))).toMatchObject({verdict: 'may-have-run', reason: 'context-missing'});
+		expect(await current.downstream.call(leg({context: reference, kind: 'view'}))).toMatchObject({verdict: 'may-have-run'});
+		expect(runs).toEqual([]);
+	});
+
+	it('that still waits for its identity keeps its declining parent from did-not-run, and does not start later', async () => {
+		let refuse!: () => void;
+		instances = [instance('releases-2'), instance('releases-1')];
+		const current = node({
+			connect: async () => new Promise((_resolve, reject) => {
+				refuse = () => {
+					reject(new Error('refused'));
+				};
+			}),
+		});
+		onRun = async (parent, inProgress) => {
+			if (parent.kind === 'withdrawal') {
+				void current.downstream.call(leg({context: inProgress.reference}));
+				return {...whole(), declared: Verdict.didNotRun};
+			}
+
+			return whole();
+		};
+
+		expect(await call(current, 'withdrawal', mint())).toMatchObject({verdict: 'may-have-run'});
+		refuse();
+		await turn();
+		expect(runs).toEqual(['withdrawal']);
+	});
+
+	it('repeated by the target is charged, and is not told did-not-run while an attempt is under way', async () => {
+		let end!: () => void;
+		const current = node();
+		const started = new Promise<void>(resolve => {
+			onRun = async parent => {
+				resolve();
+				return parent.kind === 'view'
+					? new Promise(settle => {
+						end = () => {
+							settle(whole());
+						};
+					})
+					: whole();
+			};
+		});
+		const parent = registry.begin({
+			service: 'releases', kind: 'withdrawal', rootKind: 'withdrawal', rootIdentifier: 'r', priority: 0, deadlineAt: Number.MAX_SAFE_INTEGER,
+			depth: 1, message: message(), allowance: new RetryAllowance(0), signal: new AbortController().signal,
+		}, new RetryAllowance(0))!;
+		const view = leg({kind: 'view', context: parent.reference});
+		const first = current.downstream.call(view);
+		await started;
+		expect(await current.downstream.call(view)).toMatchObject({verdict: 'may-have-run', reason: 'retries-exhausted'});
+		end();
+		expect(await first).toMatchObject({verdict: 'ran'});
+	});
+});
