Compare three ways to bound retries

Cause: the choice of the conserved allowance was argued and not measured. Change: a trial counts attempts at targets of one operation whose deepest legs all fail, for the conserved allowance (the class that nodes use), a ratio budget per node and a counter copied in a header; `npm run fuzz -- retries` prints it.

--- a/packages/fuzz/src/bin/fuzz.ts
+++ b/packages/fuzz/src/bin/fuzz.ts
@@ -7,6 +7,7 @@
 import {
 	Builtins, Cli, Command, Option,
 } from 'clipanion';
+import {retryTrial} from '../lib/retry-trial.js';
 import {search, type SearchResult} from '../lib/search.js';
 
 class FuzzCommand extends Command {
@@ -50,7 +51,23 @@
 	}
 }
 
+class RetriesCommand extends Command {
+	static override paths = [['retries']];
+	static override usage = Command.Usage({description: 'Print the table of attempts at targets for docs/retries.md'});
+
+	async execute(): Promise<number> {
+		this.context.stdout.write('| fan-out | depth | first attempts | conserved | ratio | counter |\n|---|---|---|---|---|---|\n');
+		for (const {fanOut, depth, first, attempts} of retryTrial()) {
+			const cells = [fanOut, depth, first, attempts.conserved, attempts.ratio, attempts.counter];
+			this.context.stdout.write(`| ${cells.map(cell => cell?.toLocaleString('en')).join(' | ')} |\n`);
+		}
+
+		return 0;
+	}
+}
+
 const cli = new Cli({binaryLabel: 'hemlockthread fuzz', binaryName: 'npm run fuzz --'});
 cli.register(FuzzCommand);
+cli.register(RetriesCommand);
 cli.register(Builtins.HelpCommand);
 process.exitCode = await cli.run(process.argv.slice(2));
