Choose targets by observed load, levels and health

Cause: routing looked up and ranked the subset for each call, had no ejection, kept statistics for ever, sent every call to an instance without an answer yet, and let a failure erase a known level. Change: subsets kept until the list changes (100 ms at most, since leaving instances and belief also change them), two different random choices with assumed latency for unmeasured instances, spill-over by load and level, levels per instance and root kind, ejection by weighted failures, trial calls after a jittered growing wait, at most half ejected, pauses excused, statistics pruned, seedable randomness.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,5 +2,7 @@
  * The choice of a target instance for each call.
  */
 export {
-	TargetSelector, routingOptions, type Candidate, type ChoiceRequest, type CallOutcome,
+	TargetSelector, routingOptions, type Candidate, type CandidateView, type ChoiceRequest, type SelectorOptions,
 } from './lib/target-selector.js';
+export {healthOptions, type CallOutcome} from './lib/candidate-health.js';
+export {statisticsOptions} from './lib/candidate-statistics.js';
