Wire admission and routing into the node, with a baseline

Cause: the node used neither the cold-start ramp nor ejection, a mint counted as a healthy answer, lost connections counted as refusals, refusals by known levels did not pass the level upstream, and controls: off had no effect. Change: start-node.ts passes controls, metrics, logs, ramp and pauses on; call-forwarder.ts maps results to outcomes, keeps trial calls away from minting, adds the known level and jitter to its own refusals and, with the controls off, makes up to 3 attempts whatever the allowance; call-executor.ts sends late calls on with the controls off. Measured: npx vitest run: 312 tests pass, 11 of them new for the forwarder (before: 5 outcomes and 3 attempt counts of these cases were not distinguished). Conclusion: both packages are in use on the whole path.

--- a/packages/node/src/lib/call-executor.ts
+++ b/packages/node/src/lib/call-executor.ts
@@ -36,6 +36,7 @@
 		private readonly target: TargetSender,
 		private readonly metrics: Counter,
 		private readonly timing: NodeTiming = processTiming,
+		private readonly controls: 'on' | 'off' = 'on',
 	) {}
 
 	/** Executes a call; never throws. */
@@ -205,7 +206,7 @@
 			return refusal(Verdict.didNotRun, RefusalReason.cancelled);
 		}
 
-		return this.isOver(call) ? refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded) : undefined;
+		return this.controls === 'on' && this.isOver(call) ? refusal(Verdict.didNotRun, RefusalReason.deadlineExceeded) : undefined;
 	}
 
 	private async runAtTarget(call: Call, startGate: StartGate): Promise<CallResult> {
--- /dev/null
+++ b/packages/node/src/lib/call-forwarder.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Retries of a forwarded call, and what its outcomes tell routing. The executor is a fake at the own instance.
+ */
+import {randomUUID} from 'node:crypto';
+import {IdentityAuthority, ProcessClock, RetryAllowance} from '@hemlockthread/identity';
+import type {FleetInstance} from '@hemlockthread/membership';
+import type {CallOutcome, Candidate} from '@hemlockthread/routing';
+import {
+	RefusalReason, Verdict, type RefusalReasonName, type VerdictName,
+} from '@hemlockthread/verdict';
+import {describe, expect, it} from 'vitest';
+import {CallForwarder} from './call-forwarder.js';
+import {refusal, type Call} from './call.js';
+import type {NodeTiming} from './collaborators.js';
+
+const self = {
+	instance: 'racks-1', service: 'racks', incarnation: randomUUID(), leaving: new AbortController().signal, leave: () => undefined,
+};
+const instance: FleetInstance = {
+	name: self.instance, service: 'racks', failureDomain: 'here', region: 'test', peerAddress: '', callerAddress: '', operatorAddress: '', slots: 1, state: 'live',
+};
+const timing: NodeTiming = {now: () => 0, wait: async () => undefined, random: () => 0.5};
+const knownLevel = 300;
+const authority = new IdentityAuthority([{id: 'test', secret: 'a secret for tests with 32 characters or more'}]);
+
+/** Forwards one call whose attempts all end alike. */
+async function forward(controls: 'on' | 'off', verdict: VerdictName, reason: RefusalReasonName, retries: number, refuses = false) {
+	const outcomes: CallOutcome[] = [];
+	const candidate: Candidate = {
+		instance,
+		finish(outcome) {
+			outcomes.push(outcome);
+		},
+	};
+	const forwarder = new CallForwarder(self, {current: undefined}, {instance: () => instance, hasService: () => true}, {
+		choose: () => refuses ? 'overloaded' : candidate,
+		begin: () => candidate,
+		levelOf: () => knownLevel,
+	}, {
+		async connect() {
+			throw new Error('the only instance is the own one');
+		},
+	}, {execute: async () => refusal(verdict, reason)}, authority, new ProcessClock(), {count: () => undefined}, timing, controls);
+	const call: Call = {
+		service: 'racks', kind: 'browse', rootKind: 'browse', rootIdentifier: 'root', priority: 1, deadlineAt: 1000, depth: 1, repeated: false,
+		message: {
+			method: 'GET', path: '', headers: {}, body: new Uint8Array(0),
+		},
+		allowance: new RetryAllowance(retries), signal: new AbortController().signal,
+	};
+	return {result: await forwarder.forward(call), outcomes};
+}
+
+describe('attempts of one hop', () => {
+	const cases: Array<{failure: string; controls: 'on' | 'off'; reason: RefusalReasonName; retries: number; attempts: number}> = [
+		{
+			failure: 'a retry beyond the allowance', controls: 'on', reason: RefusalReason.targetFailed, retries: 0, attempts: 1,
+		},
+		{
+			failure: 'a retry of an overloaded instance', controls: 'on', reason: RefusalReason.overloaded, retries: 5, attempts: 1,
+		},
+		{
+			failure: 'a baseline that obeys the allowance', controls: 'off', reason: RefusalReason.targetFailed, retries: 0, attempts: 3,
+		},
+		{
+			failure: 'a baseline that spares an overloaded instance', controls: 'off', reason: RefusalReason.overloaded, retries: 0, attempts: 3,
+		},
+		{
+			failure: 'a baseline without a bound of attempts', controls: 'off', reason: RefusalReason.leaving, retries: 9, attempts: 3,
+		},
+	];
+
+	it.each(cases)('guards against: $failure', async ({controls, reason, retries, attempts}) => {
+		const {outcomes} = await forward(controls, Verdict.mayHaveRun, reason, retries);
+		expect(outcomes).toHaveLength(attempts);
+	});
+});
+
+describe('what routing is told', () => {
+	const cases: Array<{verdict: VerdictName; reason: RefusalReasonName; outcome: CallOutcome}> = [
+		{verdict: Verdict.didNotRun, reason: RefusalReason.overloaded, outcome: 'refused'},
+		{verdict: Verdict.didNotRun, reason: RefusalReason.connectionLost, outcome: 'connection-lost'},
+		{verdict: Verdict.mayHaveRun, reason: RefusalReason.connectionLost, outcome: 'connection-lost'},
+		{verdict: Verdict.mayHaveRun, reason: RefusalReason.deadlineExceeded, outcome: 'timed-out'},
+		{verdict: Verdict.mayHaveRun, reason: RefusalReason.targetFailed, outcome: 'failed'},
+	];
+
+	it.each(cases)('$verdict, $reason counts as $outcome', async ({verdict, reason, outcome}) => {
+		const {outcomes} = await forward('on', verdict, reason, 0);
+		expect(outcomes[0]).toBe(outcome);
+	});
+
+	it('passes the known level upstream when every candidate refuses the priority', async () => {
+		const {result} = await forward('on', Verdict.didNotRun, RefusalReason.overloaded, 0, true);
+		expect(result).toMatchObject({reason: RefusalReason.overloaded, level: knownLevel, retryAfterMilliseconds: 1000});
+	});
+});
--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -3,7 +3,7 @@
  */
 import type {IdentityAuthority, ProcessClock} from '@hemlockthread/identity';
 import type {FleetInstance} from '@hemlockthread/membership';
-import type {Candidate} from '@hemlockthread/routing';
+import type {CallOutcome, Candidate} from '@hemlockthread/routing';
 import {
 	CallError, RefusalReason, Verdict, refusalRules, type RefusalReasonName,
 } from '@hemlockthread/verdict';
@@ -26,6 +26,10 @@
 	maximumBackoffMilliseconds: 250,
 	/** Time past the deadline in which the peer's own truthful refusal may still arrive. */
 	answerGraceMilliseconds: 25,
+	/** Attempts per hop with the controls off, whatever the allowance. */
+	uncontrolledAttempts: 3,
+	/** Mean `retry-after` of a refusal by this node; the jitter is half of it either way. */
+	retryAfterMilliseconds: 1000,
 } as const;
 
 /** @public */
@@ -69,6 +73,7 @@
 		private readonly clock: ProcessClock,
 		private readonly metrics: Counter,
 		private readonly timing: NodeTiming = processTiming,
+		private readonly controls: 'on' | 'off' = 'on',
 	) {}
 
 	/** Forwards a call that may run more than once, with retries out of the call's allowance. */
@@ -82,23 +87,25 @@
 				service: call.service, rootKind: call.rootKind, priority: call.priority, exclude: tried,
 			});
 			if (typeof candidate === 'string') {
-				return this.unchosen(call.service, candidate, mayHaveRun);
+				return this.unchosen(call, candidate, mayHaveRun);
 			}
 
 			const result = await this.attempt({candidate, call: attempted});
 			mayHaveRun ||= result.verdict === Verdict.mayHaveRun;
-			if (!isRetryable(result) || this.isOver(call)) {
+			if (!this.isRetryable(result) || this.isOver(call)) {
 				return withEarlier(mayHaveRun, result);
 			}
 
-			tried.add(candidate.instance.name);
-			if (isReroutable(result) && reroutes < forwarderOptions.maximumReroutes) {
-				reroutes += 1;
-				this.metrics.count('call.rerouted');
-				continue;
+			if (this.controls === 'on') {
+				tried.add(candidate.instance.name);
+				if (isReroutable(result) && reroutes < forwarderOptions.maximumReroutes) {
+					reroutes += 1;
+					this.metrics.count('call.rerouted');
+					continue;
+				}
 			}
 
-			if (!call.allowance.take()) {
+			if (!this.mayRetry(retries, call)) {
 				this.metrics.count('call.retries-exhausted');
 				return withEarlier(mayHaveRun, result);
 			}
@@ -146,17 +153,17 @@
 		const tried = new Set<string>();
 		for (;;) {
 			const candidate = this.selector.choose({
-				service, rootKind, priority, exclude: tried,
+				service, rootKind, priority, exclude: tried, allowTrial: false,
 			});
 			if (typeof candidate === 'string') {
-				const result = this.unchosen(service, candidate, false);
+				const result = this.unchosen({service, rootKind}, candidate, false);
 				return {refused: result.reason ?? RefusalReason.noTarget};
 			}
 
-			candidate.finish('refused', 0);
 			const {instance} = candidate;
 			tried.add(instance.name);
 			const incarnation = await this.incarnationOf(instance);
+			candidate.finish(incarnation === undefined ? 'connection-lost' : 'abandoned', 0);
 			if (incarnation === undefined) {
 				continue;
 			}
@@ -190,8 +197,7 @@
 		const result = candidate.instance.name === this.self.instance
 			? await this.executor.execute(call)
 			: await this.sendToPeer(candidate.instance, call);
-		const outcome = result.verdict === Verdict.ran ? 'answered' : (result.verdict === Verdict.didNotRun ? 'refused' : 'failed');
-		candidate.finish(outcome, this.timing.now() - startedAt, result.level);
+		candidate.finish(outcomeOf(result, call), this.timing.now() - startedAt, result.level);
 		return result;
 	}
 
@@ -246,9 +252,20 @@
 		await this.timing.wait(wait, call.signal);
 	}
 
-	private unchosen(service: string, why: 'overloaded' | 'no-target', mayHaveRun: boolean): CallResult {
+	private unchosen({service, rootKind}: Pick<Call, 'service' | 'rootKind'>, why: 'overloaded' | 'no-target', mayHaveRun: boolean): CallResult {
 		const reason = why === 'no-target' && !this.fleet.hasService(service) ? RefusalReason.unknownService : why;
-		return refusal(mayHaveRun ? Verdict.mayHaveRun : Verdict.didNotRun, reason, {retryAfterMilliseconds: 1000});
+		return refusal(mayHaveRun ? Verdict.mayHaveRun : Verdict.didNotRun, reason, {
+			level: this.selector.levelOf?.(service, rootKind) ?? 0,
+			retryAfterMilliseconds: Math.round(forwarderOptions.retryAfterMilliseconds * (0.5 + this.timing.random())),
+		});
+	}
+
+	private isRetryable(result: CallResult): boolean {
+		return result.verdict !== Verdict.ran && (this.controls === 'off' || retryableReasons.has(result.reason));
+	}
+
+	private mayRetry(retries: number, call: Call): boolean {
+		return this.controls === 'off' ? retries + 1 < forwarderOptions.uncontrolledAttempts : call.allowance.take();
 	}
 
 	private isOver(call: Call): boolean {
@@ -256,8 +273,26 @@
 	}
 }
 
-function isRetryable(result: CallResult): boolean {
-	return result.verdict !== Verdict.ran && retryableReasons.has(result.reason);
+/** What an attempt says about the health of its instance. */
+function outcomeOf(result: CallResult, call: Call): CallOutcome {
+	if (result.verdict === Verdict.ran) {
+		return 'answered';
+	}
+
+	if (call.signal.aborted) {
+		return 'abandoned';
+	}
+
+	if (result.reason === RefusalReason.connectionLost) {
+		return 'connection-lost';
+	}
+
+	if (result.verdict === Verdict.didNotRun) {
+		// A call whose time ended here never reached the instance.
+		return result.unsent === true ? 'abandoned' : 'refused';
+	}
+
+	return result.reason === RefusalReason.deadlineExceeded ? 'timed-out' : 'failed';
 }
 
 function isReroutable(result: CallResult): boolean {
--- a/packages/node/src/lib/collaborators.ts
+++ b/packages/node/src/lib/collaborators.ts
@@ -29,7 +29,7 @@
 export type FleetLookup = Pick<FleetView, 'instance' | 'hasService'>;
 
 /** @public */
-export type TargetChooser = Pick<TargetSelector, 'choose' | 'begin'>;
+export type TargetChooser = Pick<TargetSelector, 'choose' | 'begin'> & Partial<Pick<TargetSelector, 'levelOf'>>;
 
 /** @public */
 export type PeerLink = Pick<PeerConnection, 'call' | 'remote' | 'remoteLeaving'>;
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -17,6 +17,7 @@
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
 import {CallerListener} from './caller-listener.js';
+import {processTiming} from './collaborators.js';
 import {DownstreamCalls} from './downstream-calls.js';
 import {FatalErrors} from './fatal-errors.js';
 import {startListener} from './listen-error.js';
@@ -106,8 +107,11 @@
 	const policy = register(PolicyInForce, new PolicyInForce(store, logs, metrics));
 	followFleet(store, fleet, logs, metrics);
 	const distributor = register(RecordDistributor, new RecordDistributor(store, new PlatformClient(settings.platformUrl), metrics));
-	const selector = register(TargetSelector, new TargetSelector(settings, fleet));
-	const admission = register(AdmissionController, new AdmissionController({...admissionOptions, slots: settings.targetSlots}));
+	const selector = register(TargetSelector, new TargetSelector(settings, fleet, {controls: settings.controls, metrics, logs}));
+	const admission = register(AdmissionController, new AdmissionController({
+		...admissionOptions, slots: settings.targetSlots, controls: settings.controls, metrics,
+		coldStartRampMilliseconds: () => policy.current?.content.coldStartRampMilliseconds ?? 0,
+	}));
 	const registry = register(CallRegistry, new CallRegistry());
 	const operations = register(OperationTable, new OperationTable(self, clock));
 	const target = register(TargetClient, new TargetClient(settings.targetUrl, settings.targetSlots));
@@ -118,11 +122,12 @@
 	};
 	register(PeerServer, new PeerServer(local, handlers, metrics));
 	const pool = register(PeerPool, new PeerPool(local, handlers, metrics));
-	const executor = new CallExecutor(self, policy, admission, operations, registry, authority, target, metrics);
+	const executor = new CallExecutor(self, policy, admission, operations, registry, authority, target, metrics, processTiming, settings.controls);
 	handlers.executor = executor;
-	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics);
+	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics, processTiming, settings.controls);
 	const pauses = register(PauseDetector, new PauseDetector(milliseconds => {
 		metrics.count('process.paused');
+		selector.notePause();
 		logs.warn('process was paused', {milliseconds: Math.round(milliseconds)});
 	}));
 	register(CallerListener, new CallerListener(self, policy, forwarder, new RootCalls(policy, forwarder, authority), pauses, metrics));
