--- /dev/null
+++ b/packages/load/src/bin/bare-relay.ts
@@ -0,0 +1,80 @@
+/**
+ * A bare relay in the shape of the two-node path, without any of the product's decisions: `entry` listens with hapi and
+ * passes each request over one WebSocket connection as msgpack, `exit` passes it to the target with wreck. What the
+ * product costs more than this is the price of its decisions.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {Agent} from 'node:http';
+import process from 'node:process';
+import {server as createServer, type Request, type ResponseToolkit} from '@hapi/hapi';
+import wreck from '@hapi/wreck';
+import {Packr} from 'msgpackr';
+import {WebSocket, WebSocketServer, type RawData} from 'ws';
+
+type RequestFrame = {identifier: number; method: string; path: string; headers: Record<string, string>; body: Uint8Array};
+type AnswerFrame = {identifier: number; status: number; headers: Record<string, string>; body: Uint8Array};
+
+const packr = new Packr({useRecords: false});
+
+async function startEntry(host: string, port: number, exitAddress: string): Promise<void> {
+	const socket = new WebSocket(`ws://${exitAddress}`, {perMessageDeflate: false});
+	await once(socket, 'open');
+	const pending = new Map<number, (answer: AnswerFrame) => void>();
+	let nextIdentifier = 0;
+	socket.on('message', (data: RawData) => {
+		const answer = packr.unpack(data as Buffer) as AnswerFrame;
+		pending.get(answer.identifier)?.(answer);
+		pending.delete(answer.identifier);
+	});
+
+	const handler = async (request: Request, toolkit: ResponseToolkit) => {
+		const identifier = nextIdentifier++;
+		const answer = await new Promise<AnswerFrame>(resolve => {
+			pending.set(identifier, resolve);
+			socket.send(packr.pack({
+				identifier, method: request.method.toUpperCase(), path: request.url.pathname,
+				headers: {'content-type': String(request.headers['content-type'])}, body: request.payload,
+			} satisfies Omit<RequestFrame, 'body'> & {body: unknown}));
+		});
+		return toolkit.response(answer.body).code(answer.status).header('content-type', answer.headers['content-type'] ?? 'text/plain');
+	};
+
+	const httpServer = createServer({
+		host, port, compression: false,
+		routes: {payload: {parse: false, output: 'data'}, state: {parse: false, failAction: 'ignore'}},
+	});
+	httpServer.route({method: '*', path: '/calls/{service}/{kind}/{path*}', handler});
+	await httpServer.start();
+}
+
+async function startExit(host: string, port: number, targetUrl: string): Promise<void> {
+	const client = wreck.defaults({agent: new Agent({keepAlive: true, noDelay: true})});
+	const server = new WebSocketServer({host, port, perMessageDeflate: false});
+	server.on('connection', socket => {
+		socket.on('message', (data: RawData) => {
+			void (async () => {
+				const frame = packr.unpack(data as Buffer) as RequestFrame;
+				const kind = frame.path.split('/').at(-1) ?? '';
+				const response = await client.request(frame.method, `${targetUrl}/${kind}`, {payload: Buffer.from(frame.body), headers: frame.headers});
+				const body = await wreck.read(response, {});
+				socket.send(packr.pack({
+					identifier: frame.identifier, status: response.statusCode ?? 0,
+					headers: {'content-type': String(response.headers['content-type'])}, body,
+				} satisfies Omit<AnswerFrame, 'body'> & {body: unknown}));
+			})();
+		});
+	});
+	await once(server, 'listening');
+}
+
+const [side, host, port, next] = process.argv.slice(2) as ['entry' | 'exit', string, string, string];
+process.once('SIGTERM', () => {
+	process.exit(0);
+});
+process.on('disconnect', () => {
+	process.exit(0);
+});
+const start = {entry: startEntry, exit: startExit}[side];
+await start(host, Number(port), next);
+process.send!('ready');
--- /dev/null
+++ b/packages/load/src/lib/profile-summary.ts
@@ -0,0 +1,54 @@
+/**
+ * Sums up `node --cpu-prof` files by package and by function.
+ */
+import {readFileSync} from 'node:fs';
+import path from 'node:path';
+
+type ProfileNode = {id: number; callFrame: {functionName: string; url: string}};
+type Profile = {nodes: ProfileNode[]; samples: number[]; timeDeltas: number[]};
+
+/** Self time in microseconds. @public */
+export type ProfileShare = {name: string; microseconds: number};
+
+/** @public */
+export type ProfileSummary = {totalMicroseconds: number; packages: ProfileShare[]; functions: ProfileShare[]};
+
+const idleFrames = new Set(['(idle)', '(program)', '(root)']);
+
+/** Self times of a profile, largest first; idle time is left out. @public */
+export function summarizeProfile(file: string): ProfileSummary {
+	const profile = JSON.parse(readFileSync(file, 'utf8')) as Profile;
+	const nodes = new Map(profile.nodes.map(node => [node.id, node.callFrame]));
+	const packages = new Map<string, number>();
+	const functions = new Map<string, number>();
+	let totalMicroseconds = 0;
+	for (const [index, sample] of profile.samples.entries()) {
+		const frame = nodes.get(sample);
+		const microseconds = profile.timeDeltas[index] ?? 0;
+		if (frame === undefined || idleFrames.has(frame.functionName)) {
+			continue;
+		}
+
+		totalMicroseconds += microseconds;
+		const packageName = packageOf(frame.url, frame.functionName);
+		const functionName = `${frame.functionName || '(anonymous)'} ${path.basename(frame.url)}`;
+		packages.set(packageName, (packages.get(packageName) ?? 0) + microseconds);
+		functions.set(functionName, (functions.get(functionName) ?? 0) + microseconds);
+	}
+
+	return {totalMicroseconds, packages: largestFirst(packages), functions: largestFirst(functions)};
+}
+
+function packageOf(url: string, functionName: string): string {
+	if (functionName === '(garbage collector)') {
+		return 'garbage collector';
+	}
+
+	const own = /\/packages\/(?<name>[^\/]+)\//v.exec(url)?.groups?.name;
+	const installed = /node_modules\/(?<name>(?:@[^\/]+\/)?[^\/]+)/v.exec(url)?.groups?.name;
+	return installed ?? (own === undefined ? 'Node.js' : `@hemlockthread/${own}`);
+}
+
+function largestFirst(times: ReadonlyMap<string, number>): ProfileShare[] {
+	return [...times].map(([name, microseconds]) => ({name, microseconds})).toSorted((first, second) => second.microseconds - first.microseconds);
+}
