Add the demo and the control-cost bench

The control-cost bench compares node processes in fleets of several sizes with one node alone, with one target process for all.

--- /dev/null
+++ b/packages/load/src/bin/demo.ts
@@ -0,0 +1,130 @@
+/**
+ * Binary of `npm run demo`: a call through three services in two failure domains, an overload, and a target that leaves.
+ * What it asserts are counts and shares, never how long something took.
+ */
+import process from 'node:process';
+import {fileURLToPath} from 'node:url';
+import {Caller} from '../lib/caller.js';
+import {loadExperiment, type Experiment, type Traffic} from '../lib/experiment-file.js';
+import type {LoadFleet} from '../lib/load-fleet.js';
+import {outcomes} from '../lib/recorder.js';
+import {fleetOf, runOnFleet, type ExperimentResult} from '../lib/run-experiment.js';
+import {percent, total} from '../lib/summary.js';
+
+const experimentFile = fileURLToPath(new URL('../../../../experiments/demo.json', import.meta.url));
+const browsing = ['stock-view', 'listing'] as const;
+/** Calls made after the target left; each would have had one chance in two to reach it. */
+const callsAfterLeaving = 20;
+
+const failures: string[] = [];
+// The identity exchange is one more request, so the entry moves on with each operation and not with each request.
+let entry = 0;
+
+function say(line: string): void {
+	process.stdout.write(`${line}\n`);
+}
+
+function check(holds: boolean, claim: string): void {
+	say(`  ${holds ? 'ok    ' : 'FAILED'} ${claim}`);
+	if (!holds) {
+		failures.push(claim);
+	}
+}
+
+function trafficOf(experiment: Experiment, kind: string): Traffic {
+	return experiment.traffic.find(traffic => traffic.kind === kind)!;
+}
+
+/** Runs of one root request, by instance. */
+async function runsOf(fleet: LoadFleet, root: string): Promise<string[]> {
+	const found: string[] = [];
+	for (const instance of fleet.instances.values()) {
+		const runs = await instance.target.runs();
+		found.push(...runs.filter(run => run.root === root).map(run => `${instance.name} ${run.kind}`));
+	}
+
+	return found;
+}
+
+async function showServedCalls(experiment: Experiment, fleet: LoadFleet, caller: Caller): Promise<void> {
+	say('\n1. One withdrawal through three services in each failure domain');
+	for (const domain of experiment.failureDomains) {
+		const root = `demo-${domain}`;
+		const {outcome} = await caller.run(trafficOf(experiment, 'withdrawal'), root);
+		entry += 1;
+		const runs = await runsOf(fleet, root);
+		say(`  ran at: ${runs.join(', ')}`);
+		check(outcome === 'whole', 'the caller got the whole answer');
+		check(runs.length === Object.keys(experiment.services).length, 'each service ran it exactly once');
+	}
+}
+
+function showOverload(result: ExperimentResult): void {
+	const share = (kind: string) => total(result.series[kind]!.whole) / total(result.series[kind]!.offered);
+	const refused = (kind: string) => total(result.series[kind]!['did-not-run']);
+	check(browsing.some(kind => refused(kind) > 0), 'browsing was refused with "did not run"');
+	for (const kind of browsing) {
+		check(share('withdrawal') > share(kind), `withdrawals were served more often (${percent(share('withdrawal'))}) than ${kind} (${percent(share(kind))})`);
+	}
+
+	check(result.measures.attempts.doubledIrreversible === 0, 'no withdrawal or intake ran twice');
+}
+
+async function showLeaving(experiment: Experiment, fleet: LoadFleet, caller: Caller): Promise<void> {
+	say('\n3. After releases-akl-a-1 has left');
+	let whole = 0;
+	for (let index = 0; index < callsAfterLeaving; index += 1) {
+		const {outcome} = await caller.run(trafficOf(experiment, 'stock-view'), `demo-left-${index}`);
+		entry += 1;
+		whole += outcome === 'whole' ? 1 : 0;
+	}
+
+	const runs = await fleet.instance('releases-akl-a-1').target.runs();
+	const atLeft = runs.filter(run => run.root.startsWith('demo-left-')).length;
+	check(whole === callsAfterLeaving, `${whole} of ${callsAfterLeaving} calls were answered whole`);
+	check(atLeft === 0, 'none of them reached the target that left');
+}
+
+function showTable(result: ExperimentResult): void {
+	say('\nWhat callers saw during the overload and the leaving');
+	say(['kind', 'worth', 'offered', ...outcomes, 'requests'].map(cell => cell.padStart(13)).join(''));
+	for (const [kind, counts] of Object.entries(result.series)) {
+		const cells = [kind, result.worths[kind]!, total(counts.offered), ...outcomes.map(outcome => total(counts[outcome])), result.totals[kind]!.requests];
+		say(cells.map(cell => String(cell).padStart(13)).join(''));
+	}
+
+	const {goodput, work, attempts} = result.measures;
+	say(`goodput weighted by worth ${goodput.weighted.toFixed(0)}/s, ${percent(goodput.ofIdeal)} of the ideal; wasted work ${percent(work.wastedFraction)}; `
+		+ `${attempts.runsPerRoot.toFixed(2)} runs at targets per request that reached one`);
+}
+
+const experiment = loadExperiment(experimentFile);
+const fleet = fleetOf(experiment);
+const ending = new AbortController();
+const entries = () => [...fleet.instances.values()].filter(instance => !instance.gone && instance.service === 'provenance');
+const caller = new Caller({
+	signal: ending.signal, random: () => 0.5,
+	chooseEntry: () => entries()[entry % entries().length]!.callerUrl,
+});
+try {
+	say('Starting three services in two failure domains, a node beside each target');
+	await fleet.start();
+	await showServedCalls(experiment, fleet, caller);
+	say('\n2. Browsing and listing surge to 4 times the capacity; later one instance of the middle service leaves');
+	const result = await runOnFleet(experiment, {
+		seed: experiment.seed,
+		report(line) {
+			say(`  ${line}`);
+		},
+	}, fleet);
+	showOverload(result);
+	await showLeaving(experiment, fleet, caller);
+	showTable(result);
+} finally {
+	ending.abort();
+	caller.close();
+	await fleet.stop();
+}
+
+say(failures.length === 0 ? '\nThe demo showed what it should.' : `\nThe demo failed: ${failures.join('; ')}`);
+process.exitCode = failures.length === 0 ? 0 : 1;
--- a/packages/load/src/lib/caller.ts
+++ b/packages/load/src/lib/caller.ts
@@ -31,7 +31,7 @@
 	/** Random number in [0, 1). */
 	random(): number;
 	/** Called for each request sent. */
-	onRequest(kind: string): void;
+	onRequest?(kind: string): void;
 };
 
 /** Nodes tried when the connection is refused, as any client with a list of addresses does. */
@@ -94,7 +94,7 @@
 	}
 
 	private async sendTo(url: string, traffic: Traffic, root: string, identity: string | undefined): Promise<Answer> {
-		this.surroundings.onRequest(traffic.kind);
+		this.surroundings.onRequest?.(traffic.kind);
 		const startedAt = performance.now();
 		const request = this.client.request('POST', `${url}/calls/${traffic.service}/${traffic.kind}`, {
 			payload: root,
--- /dev/null
+++ b/packages/load/src/lib/control-bench.ts
@@ -0,0 +1,178 @@
+/**
+ * Measures what a node process costs: CPU, memory and bytes on its sockets, for several numbers of nodes, services and
+ * call rates. One target process serves all nodes, so that the processes measured are the product's alone.
+ */
+import {setTimeout as delay} from 'node:timers/promises';
+import {planArrivals, randomNumbers} from './arrivals.js';
+import {Caller} from './caller.js';
+import {parseExperiment, type Traffic} from './experiment-file.js';
+import {LoadFleet} from './load-fleet.js';
+import {machineDescription, processUsage, type ProcessUsage} from './process-usage.js';
+
+/** One setting to measure. @public */
+export type ControlCase = {nodes: number; services: number; callsPerNode: number};
+
+/** Means over all nodes. @public */
+export type ControlCost = ControlCase & {
+	/** Share of one core. */
+	cpu: number;
+	residentBytes: number;
+	bytesPerSecond: number;
+	/** Calls answered whole of those sent. */
+	whole: number;
+	sent: number;
+};
+
+/** @public */
+export type ControlResult = {startedAt: string; machine: ReturnType<typeof machineDescription>; seconds: number; costs: ControlCost[]};
+
+/** @public */
+export type ControlOptions = {
+	/** Node counts; the smallest case is always one node alone. */
+	nodes: readonly number[];
+	seconds: number;
+	report(line: string): void;
+};
+
+/** Time in which connections open and records spread before measuring. */
+const settleMilliseconds = 5000;
+const domains = ['a', 'b'] as const;
+const usualServices = 3;
+/** Half of the instances of a service stay in each domain, so services can't outnumber half of the nodes. */
+const manyServices = 12;
+const callRates = [5, 20] as const;
+const callerTimeoutMilliseconds = 2000;
+
+/** The cases for given node counts: idle at each, more services at the middle one, call rates at the smaller ones. @public */
+export function controlCases(nodes: readonly number[]): ControlCase[] {
+	const middle = nodes[Math.floor(nodes.length / 2)]!;
+	return [
+		{nodes: 1, services: 1, callsPerNode: 0},
+		...nodes.map(count => ({nodes: count, services: usualServices, callsPerNode: 0})),
+		{nodes: middle, services: manyServices, callsPerNode: 0},
+		...callRates.flatMap(callsPerNode => [...new Set([nodes[0]!, middle])].map(count => ({nodes: count, services: usualServices, callsPerNode}))),
+	];
+}
+
+/** @public */
+export async function measureControl(options: ControlOptions): Promise<ControlResult> {
+	const startedAt = new Date().toISOString();
+	const machine = machineDescription();
+	const costs: ControlCost[] = [];
+	for (const setting of controlCases(options.nodes)) {
+		options.report(`${setting.nodes} nodes, ${setting.services} services, ${setting.callsPerNode} calls/s at each node`);
+		costs.push(await measureCase(setting, options.seconds));
+	}
+
+	return {
+		startedAt, machine, seconds: options.seconds, costs,
+	};
+}
+
+async function measureCase(setting: ControlCase, seconds: number): Promise<ControlCost> {
+	const policy = {
+		schemaVersion: 1, identityLifetimeMilliseconds: 60_000, coldStartRampMilliseconds: 0,
+		kinds: [{
+			name: 'ping', worth: 1, protected: false, irreversible: false, retries: 0, lifetimeMilliseconds: callerTimeoutMilliseconds,
+		}],
+	};
+	const fleet = new LoadFleet({
+		policy, sharedTarget: true,
+		instances: Array.from({length: setting.nodes}, (_, index) => ({
+			name: `instance-${index}`, service: `service-${index % setting.services}`, failureDomain: domains[Math.floor(index / setting.services) % domains.length]!,
+			slots: 100, kinds: {ping: {workMilliseconds: 0, legs: []}},
+		})),
+	});
+	try {
+		await fleet.start();
+		const calls = new ControlCalls(setting, policy, fleet, (settleMilliseconds / 1000) + seconds);
+		const running = calls.run();
+		await delay(settleMilliseconds);
+		const before = usageOf(fleet);
+		await delay(seconds * 1000);
+		const after = usageOf(fleet);
+		await running;
+		const mean = (value: (usage: ProcessUsage) => number, usages: ProcessUsage[]) => {
+			let sum = 0;
+			for (const usage of usages) {
+				sum += value(usage);
+			}
+
+			return sum / usages.length;
+		};
+
+		const change = (value: (usage: ProcessUsage) => number) => (mean(value, after) - mean(value, before)) / seconds;
+		return {
+			...setting, whole: calls.whole, sent: calls.sent, residentBytes: mean(usage => usage.residentBytes, after),
+			cpu: change(usage => usage.cpuMilliseconds) / 1000, bytesPerSecond: change(usage => usage.transferredBytes),
+		};
+	} finally {
+		await fleet.stop();
+	}
+}
+
+function usageOf(fleet: LoadFleet): ProcessUsage[] {
+	return [...fleet.instances.values()].map(instance => {
+		const usage = processUsage(instance.node.pid!);
+		if (usage === undefined) {
+			throw new Error(`node of ${instance.name} ended during the measurement`);
+		}
+
+		return usage;
+	});
+}
+
+/** Calls to all services through all nodes at a constant rate. */
+class ControlCalls {
+	whole = 0;
+	sent = 0;
+	private readonly entries: string[];
+
+	constructor(private readonly setting: ControlCase, private readonly policy: Record<string, unknown>, fleet: LoadFleet, private readonly seconds: number) {
+		this.entries = [...fleet.instances.values()].map(instance => instance.callerUrl);
+	}
+
+	async run(): Promise<void> {
+		if (this.setting.callsPerNode === 0) {
+			return;
+		}
+
+		const random = randomNumbers(1);
+		const ending = new AbortController();
+		const caller = new Caller({
+			random, signal: ending.signal, chooseEntry: () => this.entries[Math.floor(random() * this.entries.length)]!, onRequest: () => {
+				this.sent += 1;
+			},
+		});
+		const traffic = this.traffic();
+		const startedAt = performance.now();
+		const open: Array<Promise<void>> = [];
+		for (const {at, traffic: index} of planArrivals(this.experiment(traffic), 1)) {
+			await delay(Math.max(0, at - (performance.now() - startedAt)));
+			open.push(this.call(caller, traffic[index]!));
+		}
+
+		await Promise.all(open);
+		caller.close();
+	}
+
+	private async call(caller: Caller, traffic: Traffic): Promise<void> {
+		const {outcome} = await caller.run(traffic, 'thirteen byte');
+		this.whole += outcome === 'whole' ? 1 : 0;
+	}
+
+	private traffic(): Traffic[] {
+		return Array.from({length: this.setting.services}, (_, index) => ({
+			service: `service-${index}`, kind: 'ping', rate: this.setting.callsPerNode * this.setting.nodes / this.setting.services,
+			retries: {mode: 'none', attempts: 1}, callerTimeoutMilliseconds,
+		}));
+	}
+
+	private experiment(traffic: Traffic[]) {
+		const service = {instancesPerDomain: 1, slots: 1, kinds: {ping: {workMilliseconds: 0}}};
+		return parseExperiment(JSON.stringify({
+			name: 'control', description: 'Calls of the control-cost bench', seconds: this.seconds, failureDomains: [...domains], traffic, policy: this.policy,
+			services: Object.fromEntries(traffic.map(entry => [entry.service, service])),
+		}));
+	}
+}
--- a/packages/load/src/lib/latency-report.ts
+++ b/packages/load/src/lib/latency-report.ts
@@ -63,12 +63,19 @@
 			return `| ${cells.join(' | ')} |`;
 		})),
 		'',
-		`| calls/s | added p99, bound ${latencyBounds.addedMilliseconds} ms | | added p99 of bare relay, bound ${latencyBounds.ofBareRelay} | | added median of bare relay | CPU per call of bare relay |`,
+		`| calls/s | added p99, bound ${latencyBounds.addedMilliseconds} ms | | added p99 of bare relay, bound ${latencyBounds.ofBareRelay} `
+		+ '| | added median of bare relay | CPU per call of bare relay |',
 		'|--:|--:|---|--:|---|--:|--:|',
 		...result.rates.map(({rate, paths}) => {
 			const verdict = judgeLatency(paths);
 			const cells = [
-				rate, verdict.addedP99.toFixed(3), mark(verdict.addedMet), verdict.ofBareRelay.toFixed(2), mark(verdict.ratioMet), verdict.ofBareRelayMedian.toFixed(2), verdict.ofBareRelayCpu.toFixed(2),
+				rate,
+				verdict.addedP99.toFixed(3),
+				mark(verdict.addedMet),
+				verdict.ofBareRelay.toFixed(2),
+				mark(verdict.ratioMet),
+				verdict.ofBareRelayMedian.toFixed(2),
+				verdict.ofBareRelayCpu.toFixed(2),
 			];
 			return `| ${cells.join(' | ')} |`;
 		}),
--- a/packages/load/src/lib/load-fleet.ts
+++ b/packages/load/src/lib/load-fleet.ts
@@ -51,6 +51,8 @@
 	policy: unknown;
 	instances: LoadInstancePlan[];
 	nodeSettings?: Record<string, unknown>;
+	/** True where one target process serves all nodes, for measurements of the nodes alone. */
+	sharedTarget?: boolean;
 	/** Directory for `node --cpu-prof` files of the nodes. */
 	profileDirectory?: string;
 };
@@ -155,24 +157,36 @@
 		}
 	}
 
+	private startTarget(plan: LoadInstancePlan, host: string, port: number, nodeUrl: string): Pick<LoadInstance, 'target' | 'targetUrl'> {
+		const [first] = this.instances.values();
+		if (this.options.sharedTarget === true && first !== undefined) {
+			return {target: first.target, targetUrl: first.targetUrl};
+		}
+
+		return {
+			targetUrl: `http://${host}:${port}`,
+			target: new TargetProcess({
+				service: plan.service, host, port, nodeUrl, slots: plan.slots, kinds: plan.kinds,
+			}),
+		};
+	}
+
 	private async prepare(plan: LoadInstancePlan, host: string, platformUrl: string): Promise<void> {
-		const [target, callers, nodeForTarget, peers, operators] = await freePorts(host, 5) as [number, number, number, number, number];
+		const [targetPort, callers, nodeForTarget, peers, operators] = await freePorts(host, 5) as [number, number, number, number, number];
+		const target = this.startTarget(plan, host, targetPort, `http://${host}:${nodeForTarget}`);
 		const settingsPath = path.join(this.directory, `${plan.name}.json`);
 		writeFileSync(settingsPath, JSON.stringify({
 			instance: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'local',
 			listen: {
 				callers: {host, port: callers}, target: {host, port: nodeForTarget}, peers: {host, port: peers}, operators: {host, port: operators},
 			},
-			targetUrl: `http://${host}:${target}`, targetSlots: plan.slots, platformUrl, identityKeys, logLevel: 'warn',
+			targetUrl: target.targetUrl, targetSlots: plan.slots, platformUrl, identityKeys, logLevel: 'warn',
 			shutdownGraceMilliseconds: 500,
 			...this.options.nodeSettings,
 		}));
 		this.instances.set(plan.name, {
-			...plan, host, settingsPath, peerAddress: `${host}:${peers}`, targetUrl: `http://${host}:${target}`,
+			...plan, ...target, host, settingsPath, peerAddress: `${host}:${peers}`,
 			callerUrl: `http://${host}:${callers}`, operatorUrl: `http://${host}:${operators}`,
-			target: new TargetProcess({
-				service: plan.service, host, port: target, nodeUrl: `http://${host}:${nodeForTarget}`, slots: plan.slots, kinds: plan.kinds,
-			}),
 			node: undefined as unknown as ChildProcess,
 			gone: false,
 		});
--- a/packages/load/src/lib/process-usage.ts
+++ b/packages/load/src/lib/process-usage.ts
@@ -12,7 +12,12 @@
 const systemTimeField = 12;
 
 /** @public */
-export type ProcessUsage = {cpuMilliseconds: number; residentBytes: number};
+export type ProcessUsage = {
+	cpuMilliseconds: number;
+	residentBytes: number;
+	/** Bytes read and written by system calls, nearly all of them on sockets. */
+	transferredBytes: number;
+};
 
 /** Usage of a process; undefined when it has ended. @public */
 export function processUsage(pid: number): ProcessUsage | undefined {
@@ -22,7 +27,13 @@
 		const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ');
 		const ticks = Number(fields[userTimeField]) + Number(fields[systemTimeField]);
 		const resident = /^VmRSS:\s+(?<kilobytes>\d+)/mv.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.groups?.kilobytes;
-		return {cpuMilliseconds: ticks * 1000 / ticksPerSecond, residentBytes: Number(resident ?? 0) * 1024};
+		const transfers = readFileSync(`/proc/${pid}/io`, 'utf8').matchAll(/^[rw]char: (?<bytes>\d+)/gmv);
+		let transferredBytes = 0;
+		for (const {groups} of transfers) {
+			transferredBytes += Number(groups?.bytes);
+		}
+
+		return {cpuMilliseconds: ticks * 1000 / ticksPerSecond, residentBytes: Number(resident ?? 0) * 1024, transferredBytes};
 	} catch {
 		return undefined;
 	}
--- a/packages/load/src/lib/run-experiment.ts
+++ b/packages/load/src/lib/run-experiment.ts
@@ -53,19 +53,32 @@
 
 /** @public */
 export async function runExperiment(experiment: Experiment, options: RunOptions): Promise<ExperimentResult> {
-	const fleet = new LoadFleet({
-		policy: experiment.policy, nodeSettings: experiment.nodeSettings, profileDirectory: options.profileDirectory,
-		instances: instanceNames(experiment).map(instance => ({...instance, slots: experiment.services[instance.service]!.slots, kinds: experiment.services[instance.service]!.kinds})),
-	});
+	const fleet = fleetOf(experiment, options.profileDirectory);
 	try {
 		await fleet.start();
 		options.report(`${experiment.name}: ${fleet.instances.size} instances are ready`);
-		return await new ExperimentRun(experiment, options, fleet).run();
+		return await runOnFleet(experiment, options, fleet);
 	} finally {
 		await fleet.stop();
 	}
 }
 
+/** Runs an experiment on a fleet that has been started for it. @public */
+export async function runOnFleet(experiment: Experiment, options: RunOptions, fleet: LoadFleet): Promise<ExperimentResult> {
+	return new ExperimentRun(experiment, options, fleet).run();
+}
+
+/** The fleet that an experiment needs. @public */
+export function fleetOf(experiment: Experiment, profileDirectory?: string): LoadFleet {
+	return new LoadFleet({
+		policy: experiment.policy, nodeSettings: experiment.nodeSettings, profileDirectory,
+		instances: instanceNames(experiment).map(instance => {
+			const {slots, kinds} = experiment.services[instance.service]!;
+			return {...instance, slots, kinds};
+		}),
+	});
+}
+
 class ExperimentRun {
 	private readonly ending = new AbortController();
 	private readonly recorder: Recorder;
