node: Give the aborts at the end of each call a reason made once

Cause: a CPU profile of the two-node path at 1,000 calls/s showed that abort() without a reason builds a DOMException with a stack trace twice per call: 381 ms of 8,590 ms busy in the entry node, 1,011 ms of 19,313 ms in the node beside the target. Change: both aborts pass an error that is made once.

--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -40,6 +40,9 @@
 	operation?: string;
 };
 
+/** Made once: the default reason of `abort()` is a new error with a stack trace for each call. */
+const callAnswered = new Error('the call was answered');
+
 type Attempt = {candidate: Candidate; call: Call};
 
 /** Failures after which another attempt of a reversible call is sensible. */
@@ -229,7 +232,7 @@
 
 			return failure;
 		} finally {
-			answered.abort();
+			answered.abort(callAnswered);
 		}
 	}
 
--- a/packages/node/src/lib/call-registry.ts
+++ b/packages/node/src/lib/call-registry.ts
@@ -35,6 +35,9 @@
 	running?: Promise<CallResult>;
 };
 
+/** Made once: the default reason of `abort()` is a new error with a stack trace for each call. */
+const callEnded = new Error('the call that this one was made for has ended');
+
 /** A call that the target works on. @public */
 export class CallInProgress {
 	readonly reference = randomBytes(referenceBytes).toString('hex');
@@ -72,7 +75,7 @@
 
 	/** Cancels what still runs below this call. */
 	end(): void {
-		this.controller.abort();
+		this.controller.abort(callEnded);
 	}
 }
 
