--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -19,6 +19,8 @@
 export const connectionOptions = {
 	/** Time between heartbeats on control connections. */
 	heartbeatMilliseconds: 1000,
+	/** Silence on a control connection after which the peer is asked for a heartbeat. */
+	echoAfterMilliseconds: 1500,
 	/** A connection that is expected to answer and stays silent this long is closed. */
 	silenceLimitMilliseconds: 3000,
 	/** Longest wait for the peer's hello. */
@@ -40,8 +42,13 @@
 	failureDomain: string;
 	isLeaving(): boolean;
 	revisions(): Revisions;
+	/** Time since the newest answer of the configuration service known here; undefined when there was none. */
+	platformAge?(): number | undefined;
 };
 
+/** Frames and payload bytes of one connection. @public */
+export type PeerTraffic = {sentFrames: number; sentBytes: number; receivedFrames: number; receivedBytes: number};
+
 /** @public */
 export type RequestBody = Omit<RequestFrame, 'type' | 'identifier' | 'sentAt' | 'heard'>;
 
@@ -82,10 +89,18 @@
 export class PeerConnection {
 	/** The peer's hello; undefined until it arrived. */
 	remote: HelloFrame | undefined;
+	/** True once hello frames were exchanged and `onReady` was called. */
+	greeted = false;
 	/** True once the peer said that it leaves the fleet. */
 	remoteLeaving = false;
-	/** True where heartbeats are sent all the time and not only while calls wait. */
+	/** True where this side keeps the connection open for control. */
 	control = false;
+	/** True where the peer keeps the connection open for control. */
+	remoteControl = false;
+	readonly traffic: PeerTraffic = {
+		sentFrames: 0, sentBytes: 0, receivedFrames: 0, receivedBytes: 0,
+	};
+
 	/** Monotonic time of the last call on this connection. */
 	lastUsedAt = performance.now();
 
@@ -116,6 +131,7 @@
 		},
 		heartbeat: (frame, receivedAt) => {
 			this.clock.age(frame.sentAt, frame.heard, receivedAt);
+			this.remoteControl = frame.control === true;
 			this.noteLeaving(frame.leaving);
 			if (frame.echo) {
 				this.sendHeartbeat(false);
@@ -139,7 +155,8 @@
 		private readonly local: LocalPeer,
 		private readonly handlers: PeerHandlers,
 		private readonly metrics: Metrics,
-		private readonly dialled: boolean,
+		/** True on the side that opened the connection. */
+		readonly dialled: boolean,
 		private readonly options: ConnectionOptions = connectionOptions,
 	) {
 		this.helloReceived = new Promise(resolve => {
@@ -170,6 +187,25 @@
 		return this.socket.readyState === 1 && this.remote !== undefined && !this.closing.signal.aborted;
 	}
 
+	/** True while either side keeps the connection open for control; heartbeats are then sent all the time. */
+	get heldForControl(): boolean {
+		return this.control || this.remoteControl;
+	}
+
+	/** Bytes that wait to be written. */
+	get bufferedBytes(): number {
+		return this.socket.bufferedAmount;
+	}
+
+	/** Keeps the connection open for control, or stops to, and tells the peer. */
+	holdControl(hold: boolean): void {
+		if (this.control !== hold) {
+			this.control = hold;
+			this.waitingSince = performance.now();
+			this.sendHeartbeat(false);
+		}
+	}
+
 	/** Exchanges hello frames, then checks until the end that the peer is alive. */
 	async run(): Promise<void> {
 		try {
@@ -182,6 +218,7 @@
 				await this.ready();
 			}
 
+			this.greeted = true;
 			this.handlers.onReady?.(this);
 			await this.watchPeer();
 		} catch {
@@ -246,14 +283,25 @@
 
 	send(frame: Frame): void {
 		if (this.socket.readyState === 1) {
-			this.socket.send(encodeFrame(frame));
+			const bytes = encodeFrame(frame);
+			this.traffic.sentFrames += 1;
+			this.traffic.sentBytes += bytes.length;
+			this.socket.send(bytes);
 		}
 	}
 
 	/** Tells the peer the current revisions and whether this node leaves. */
 	sendHeartbeat(echo: boolean): void {
+		const age = this.local.platformAge?.();
 		this.send({
-			type: 'heartbeat', revisions: this.local.revisions(), leaving: this.local.isLeaving(), echo, sentAt: performance.now(), heard: this.clock.heard,
+			type: 'heartbeat',
+			revisions: this.local.revisions(),
+			leaving: this.local.isLeaving(),
+			echo,
+			control: this.control,
+			platformAgeMilliseconds: age === undefined ? undefined : Math.round(age),
+			sentAt: performance.now(),
+			heard: this.clock.heard,
 		});
 	}
 
@@ -283,6 +331,8 @@
 	private receive(data: Uint8Array): void {
 		const receivedAt = performance.now();
 		this.lastReceivedAt = receivedAt;
+		this.traffic.receivedFrames += 1;
+		this.traffic.receivedBytes += data.length;
 		try {
 			const frame = decodeFrame(data);
 			if (frame === undefined) {
@@ -368,20 +418,23 @@
 			const now = performance.now();
 			const pausedHere = now - checkedAt > 2 * this.options.heartbeatMilliseconds;
 			checkedAt = now;
-			if (!this.control && this.pending.size === 0) {
+			if (!this.heldForControl && this.pending.size === 0) {
 				continue;
 			}
 
 			// Silence while nothing was asked of the peer says nothing.
-			const silence = now - (this.control ? this.lastReceivedAt : Math.max(this.lastReceivedAt, this.waitingSince));
+			const silence = now - Math.max(this.lastReceivedAt, this.waitingSince);
 			// After a pause of this process the silence says nothing about the peer.
 			if (!pausedHere && silence > this.options.silenceLimitMilliseconds) {
 				this.metrics.count('peer.silent');
 				return;
 			}
 
-			if (this.control || silence > this.options.heartbeatMilliseconds) {
-				this.sendHeartbeat(!this.control);
+			if (this.heldForControl) {
+				// A peer of a version without the `control` field sends no heartbeats of its own, but answers.
+				this.sendHeartbeat(silence > this.options.echoAfterMilliseconds);
+			} else if (silence > this.options.heartbeatMilliseconds) {
+				this.sendHeartbeat(true);
 			}
 		}
 	}
