--- a/packages/fuzz/src/lib/oracle.ts
+++ b/packages/fuzz/src/lib/oracle.ts
@@ -29,6 +29,8 @@
 	readonly identifier: string;
 	/** Names the operation: the caller's intent, then the legs below it. */
 	readonly path: string;
+	/** Names the leg in the whole operation, whichever run of its parent made it. */
+	readonly leg: string;
 	readonly irreversible: boolean;
 	readonly sentAt: number;
 	readonly identity?: KnownIdentity;
@@ -153,7 +155,7 @@
 		return this.closedAttempts.has(attempt) || attempt.sentAt < (this.closedLegs.get(legKeyOf(attempt)) ?? Number.NEGATIVE_INFINITY);
 	}
 
-	/** The first arrival of a leg of a run is free; each further one is a retry of the root operation. */
+	/** The first arrival of a leg is free; each further one, also under another run of its parent, is a retry of the root operation. */
 	private charge(attempt: Attempt): void {
 		let root = attempt;
 		while (root.parent !== undefined) {
@@ -167,7 +169,7 @@
 			this.accounts.set(key, account);
 		}
 
-		const leg = attempt.parent === undefined ? 'root' : legKeyOf(attempt);
+		const leg = attempt.parent === undefined ? 'root' : (attempt.tied ? attempt.leg : attempt.identifier);
 		const earlier = account.arrivals.get(leg) ?? 0;
 		account.arrivals.set(leg, earlier + 1);
 		if (earlier > 0) {
--- a/packages/fuzz/src/lib/retry-trial.test.ts
+++ b/packages/fuzz/src/lib/retry-trial.test.ts
@@ -11,8 +11,9 @@
 		expect(countAttempts(way, 1, 1)).toBe(1 + retries);
 	});
 
-	it.each([1, 2, 5, 10])('of a chain of %d stay within one repetition of the chain per retry with the conserved allowance', depth => {
-		expect(countAttempts('conserved', depth, 1)).toBeLessThanOrEqual(depth * (1 + retries));
+	it.each([[1, 1], [2, 1], [10, 1], [3, 2], [6, 3]])('with depth %d and fan-out %d exceed the first by at most the total with the conserved allowance', (depth, fanOut) => {
+		const first = Array.from({length: depth}, (_value, level) => fanOut ** level).reduce((sum, count) => sum + count);
+		expect(countAttempts('conserved', depth, fanOut) - first).toBeLessThanOrEqual(retries);
 	});
 
 	it('grow with each level where a counter is copied', () => {
--- a/packages/fuzz/src/lib/world.ts
+++ b/packages/fuzz/src/lib/world.ts
@@ -307,7 +307,7 @@
 		const check = token === undefined ? undefined : node.authority.verify(token);
 		const identity = check?.valid === true ? check.identity : undefined;
 		const attempt: Attempt = {
-			identifier: `a${this.nextAttempt++}`, path, irreversible: plan.irreversible, sentAt: this.time.now, tied: true, retries: plan.retries,
+			identifier: `a${this.nextAttempt++}`, path, leg: path, irreversible: plan.irreversible, sentAt: this.time.now, tied: true, retries: plan.retries,
 			...(identity === undefined ? {} : {identity: {operation: identity.operation, generation: identity.generation}}),
 		};
 		this.oracle.sent(attempt);
--- a/packages/node/src/lib/caller-listener.ts
+++ b/packages/node/src/lib/caller-listener.ts
@@ -74,7 +74,10 @@
 			return writeResult(toolkit, refusedNow(RefusalReason.unknownKind));
 		}
 
-		const minted = await this.forwarder.mint(service, kindName, kindName, current.priorityOf(kindName, randomUUID()));
+		const operation = randomUUID();
+		const minted = await this.forwarder.mint({
+			service, kind: kindName, rootKind: kindName, priority: current.priorityOf(kindName, operation), operation,
+		});
 		if ('refused' in minted) {
 			return writeResult(toolkit, refusal(Verdict.didNotRun, minted.refused, {retryAfterMilliseconds: 1000}));
 		}
--- a/packages/node/src/lib/downstream-calls.ts
+++ b/packages/node/src/lib/downstream-calls.ts
@@ -120,12 +120,13 @@
 		return this.forwarder.forward({
 			service, kind: kind.name, rootKind: kind.name, rootIdentifier: randomUUID(), priority: lowestPriority,
 			deadlineAt: this.timing.now() + this.policy.current!.shortestLifetimeMilliseconds,
-			depth: callRegistryOptions.maximumDepth, message, allowance: new RetryAllowance(0), signal,
+			depth: callRegistryOptions.maximumDepth, message, allowance: new RetryAllowance(0), repeated: false, signal,
 		});
 	}
 
 	private async callLeg(leg: Leg, call: Call): Promise<CallResult> {
-		if (leg.attempts > 0 && !call.allowance.take()) {
+		const repeated = mustPay(leg, call);
+		if (repeated && !call.allowance.take()) {
 			this.metrics.count('call.retries-exhausted');
 			return refusal(leg.verdict, RefusalReason.retriesExhausted);
 		}
@@ -133,7 +134,7 @@
 		leg.attempts += 1;
 		leg.underWay += 1;
 		leg.verdict = Verdict.mayHaveRun;
-		const result = await this.forwarder.forward(call);
+		const result = await this.forwarder.forward({...call, repeated});
 		leg.underWay -= 1;
 		leg.mayHaveRun ||= result.verdict !== Verdict.didNotRun;
 		leg.verdict = leg.mayHaveRun || leg.underWay > 0 ? Verdict.mayHaveRun : Verdict.didNotRun;
@@ -150,13 +151,14 @@
 			return leg.result;
 		}
 
-		if (leg.attempts > 0 && !call.allowance.take()) {
+		const repeated = mustPay(leg, call);
+		if (repeated && !call.allowance.take()) {
 			this.metrics.count('call.retries-exhausted');
 			return refusal(leg.verdict, RefusalReason.retriesExhausted);
 		}
 
 		leg.attempts += 1;
-		leg.running = this.runIrreversibleLeg(leg, call);
+		leg.running = this.runIrreversibleLeg(leg, {...call, repeated});
 		try {
 			leg.result = await leg.running;
 			return leg.result;
@@ -171,7 +173,7 @@
 		leg.verdict = Verdict.mayHaveRun;
 		if (fresh) {
 			// Nothing ran and the old generation is closed, so any executor may be named.
-			const minted = await this.forwarder.mint(call.service, call.kind, call.rootKind, call.priority);
+			const minted = await this.forwarder.mint(call);
 			if ('refused' in minted) {
 				leg.verdict = Verdict.didNotRun;
 				return refusedNow(minted.refused);
@@ -186,6 +188,11 @@
 	}
 }
 
+/** A leg takes a retry when it was attempted before, under this attempt of its parent or under an earlier one. */
+function mustPay(leg: Leg, call: Call): boolean {
+	return leg.attempts > 0 || call.repeated;
+}
+
 function legKey({service, kind, message, step}: DownstreamCall): string {
 	const last = step === undefined ? createHash('sha256').update(message.body).digest('base64url') : `step ${step}`;
 	return [service, kind, message.method, message.path, last].join('\n');
--- a/packages/node/src/lib/outcome-rules.test.ts
+++ b/packages/node/src/lib/outcome-rules.test.ts
@@ -285,6 +285,24 @@
 		expect(runs).toEqual([]);
 	});
 
+	it('made again by a second run of its parent takes a retry of the operation', async () => {
+		const current = node();
+		const left: number[] = [];
+		onRun = async (parent, inProgress) => {
+			if (parent.kind === 'withdrawal') {
+				await current.downstream.call(leg({kind: 'view', context: inProgress.reference}));
+				left.push(inProgress.allowance.remaining);
+				return {...whole(), declared: Verdict.didNotRun};
+			}
+
+			return whole();
+		};
+
+		const {nextIdentity} = await call(current, 'withdrawal', mint());
+		await call(current, 'withdrawal', nextIdentity);
+		expect(left).toEqual([2, 0]);
+	});
+
 	it('that still waits for its identity keeps its declining parent from did-not-run, and does not start later', async () => {
 		let refuse!: () => void;
 		instances = [instance('releases-2'), instance('releases-1')];
@@ -327,7 +345,7 @@
 		});
 		const parent = registry.begin({
 			service: 'releases', kind: 'withdrawal', rootKind: 'withdrawal', rootIdentifier: 'r', priority: 0, deadlineAt: Number.MAX_SAFE_INTEGER,
-			depth: 1, message: message(), allowance: new RetryAllowance(0), signal: new AbortController().signal,
+			depth: 1, message: message(), allowance: new RetryAllowance(0), repeated: false, signal: new AbortController().signal,
 		}, new RetryAllowance(0))!;
 		const view = leg({kind: 'view', context: parent.reference});
 		const first = current.downstream.call(view);
--- a/packages/node/src/lib/root-calls.ts
+++ b/packages/node/src/lib/root-calls.ts
@@ -95,12 +95,12 @@
 			service: request.service, kind: kind.name, rootKind: kind.name, rootIdentifier,
 			priority: policy.priorityOf(kind.name, rootIdentifier),
 			deadlineAt: this.timing.now() + lifetime - request.possibleWaitMilliseconds,
-			depth: rootDepth, message: request.message, allowance: new RetryAllowance(kind.retries), signal: request.signal,
+			depth: rootDepth, message: request.message, allowance: new RetryAllowance(kind.retries), repeated: false, signal: request.signal,
 		};
 	}
 
 	private async offerIdentity(call: Call): Promise<CallResult> {
-		const minted = await this.forwarder.mint(call.service, call.kind, call.kind, call.priority);
+		const minted = await this.forwarder.mint({...call, operation: call.rootIdentifier});
 		return 'refused' in minted
 			? refusal(Verdict.didNotRun, minted.refused, {retryAfterMilliseconds: 1000})
 			: refusal(Verdict.didNotRun, RefusalReason.identityNeeded, {nextIdentity: minted.token});
--- a/packages/operations/src/lib/operation.ts
+++ b/packages/operations/src/lib/operation.ts
@@ -34,6 +34,7 @@
 	private currentState: OperationStateName = OperationState.open;
 	private currentGeneration: number;
 	private admissions = 0;
+	private runs = 0;
 	private run = beginRun();
 
 	constructor(
@@ -59,6 +60,11 @@
 		return this.run.promise;
 	}
 
+	/** True once the target was given the operation, so that its legs may have been attempted. */
+	get reachedTarget(): boolean {
+		return this.runs > 0;
+	}
+
 	/** Counts an attempt that reaches admission; each after the first takes one retry. */
 	attempt(): boolean {
 		this.admissions += 1;
@@ -72,6 +78,7 @@
 		}
 
 		this.currentState = OperationState.running;
+		this.runs += 1;
 		return true;
 	}
 
