--- a/packages/fuzz/src/lib/fake-target.ts
+++ b/packages/fuzz/src/lib/fake-target.ts
@@ -200,7 +200,7 @@
 			}
 
 			const attempt: Attempt = {
-				identifier: `${this.name}-leg${this.nextLegAttempt++}-${run.identifier}`, path: owned, irreversible: leg.irreversible,
+				identifier: `${this.name}-leg${this.nextLegAttempt++}-${run.identifier}`, path: owned, leg: `${run.attempt.leg}/${index}${leg.kind}`, irreversible: leg.irreversible,
 				sentAt: time.now, parent: run, tied, retries: 0,
 			};
 			oracle.sent(attempt);
--- a/packages/fuzz/src/lib/retry-trial.ts
+++ b/packages/fuzz/src/lib/retry-trial.ts
@@ -1,8 +1,7 @@
 /**
  * Counts attempts at targets for one operation whose deepest legs all fail, under three ways to bound retries.
  *
- * Every target fails when one of its legs fails, so each node sees a failure that it may retry. This is the worst case:
- * each retry repeats all legs below it.
+ * Every target fails when one of its legs fails, so each node sees a failure that it may retry. This is the worst case.
  */
 import {RetryAllowance} from '@hemlockthread/identity';
 
@@ -19,8 +18,10 @@
 /** Who may retry, as one node sees it. */
 type Account = {
 	take(): boolean;
-	/** What a leg is handed; undefined is returned to `takeBack`. */
+	/** What one attempt of a leg is handed; the rest of it returns with `takeBack`. */
 	hand(): Account;
+	/** True where legs of a repeated attempt may be sent only for a retry each. */
+	chargesLegsOf(repeated: boolean): boolean;
 	takeBack(handed: Account): void;
 };
 
@@ -31,6 +32,10 @@
 		return this.allowance.take();
 	}
 
+	chargesLegsOf(repeated: boolean): boolean {
+		return repeated;
+	}
+
 	hand(): ConservedAccount {
 		return new ConservedAccount(new RetryAllowance(this.allowance.split()));
 	}
@@ -49,6 +54,10 @@
 		return this.remaining >= 0;
 	}
 
+	chargesLegsOf(): boolean {
+		return false;
+	}
+
 	hand(): CopiedCounter {
 		return new CopiedCounter(this.remaining);
 	}
@@ -82,6 +91,10 @@
 		return true;
 	}
 
+	chargesLegsOf(): boolean {
+		return false;
+	}
+
 	hand(): RatioBudget {
 		return new RatioBudget(this.budgets, this.depth + 1);
 	}
@@ -104,21 +117,27 @@
 /** Attempts at targets for one operation with `depth` targets in a chain and `fanOut` legs of each. @public */
 export function countAttempts(way: string, depth: number, fanOut: number): number {
 	let attempts = 0;
-	const callLeg = (account: Account, below: number): void => {
+	const callLeg = (account: Account, below: number, repeatedParent: boolean): void => {
+		let repeated = repeatedParent;
+		if (account.chargesLegsOf(repeated) && !account.take()) {
+			return;
+		}
+
 		do {
 			attempts += 1;
 			const atTarget = account.hand();
 			if (below > 0) {
 				for (let leg = 0; leg < fanOut; leg += 1) {
-					callLeg(atTarget, below - 1);
+					callLeg(atTarget, below - 1, repeated);
 				}
 			}
 
 			account.takeBack(atTarget);
+			repeated = true;
 		} while (account.take());
 	};
 
-	callLeg(retryWays[way]!(depth), depth - 1);
+	callLeg(retryWays[way]!(depth), depth - 1, false);
 	return attempts;
 }
 
