operator: Add the read-only command line and GET /explain

Cause: operators could only read /state by hand; nothing told why a call would be shed, or whether a published record is in force everywhere.

The node's operators listener answers GET /explain from the policy, the admission level, the routing view and the leaving state; TargetSelector.view reads without starting a call. xo's new-cap rule allows clipanion's Option and Command functions.

--- /dev/null
+++ b/packages/node/src/lib/call-explainer.ts
@@ -0,0 +1,129 @@
+/**
+ * Explains what would happen to a call now, from the state that the node decides with, without starting a call.
+ */
+import type {AdmissionController} from '@hemlockthread/admission';
+import type {FleetView} from '@hemlockthread/membership';
+import {prioritiesPerRank, type PolicyRecord} from '@hemlockthread/policy';
+import type {CandidateView, TargetSelector} from '@hemlockthread/routing';
+import {RefusalReason, type RefusalReasonName} from '@hemlockthread/verdict';
+import type {NodeIdentity} from './node-identity.js';
+import type {PolicyInForce} from './policy-in-force.js';
+
+/** @public */
+export type ExplainedCheck = {check: string; passed: boolean; detail: string};
+
+/** @public */
+export type Explanation = {
+	node: string;
+	service: string;
+	kind: string;
+	policyRevision: number;
+	/** `refused` is independent of load; the others tell whether all, some or none of the kind's requests pass. */
+	outcome: 'admitted' | 'partly-shed' | 'shed' | 'refused';
+	reason?: RefusalReasonName;
+	/** Part of the kind's requests, from 0 to 1, that pass the known levels. */
+	admittedShare: number;
+	/** Priorities of the kind's requests when it is the root kind. */
+	priorities?: {lowest: number; highest: number};
+	candidates: CandidateView[];
+	checks: ExplainedCheck[];
+};
+
+type Question = {service: string; kind: string};
+type Refusal = {reason: RefusalReasonName; detail: string};
+
+/**
+ * Answers `GET /explain` of the operators listener.
+ *
+ * @public
+ */
+export class CallExplainer {
+	constructor(
+		private readonly self: NodeIdentity,
+		private readonly policy: PolicyInForce,
+		private readonly fleet: FleetView,
+		private readonly selector: TargetSelector,
+		private readonly admission: AdmissionController,
+	) {}
+
+	explain(question: Question): Explanation {
+		const checks: ExplainedCheck[] = [];
+		const base = {
+			node: this.self.instance, ...question, policyRevision: this.policy.revision, checks,
+		};
+		// Checks that do not depend on load, in the order in which a call meets them.
+		const fixedChecks: ReadonlyArray<[check: string, run: () => Refusal | string]> = [
+			['policy', () => this.checkPolicy()],
+			['kind', () => this.checkKind(question)],
+			['service', () => this.checkService(question)],
+			['candidates', () => this.checkCandidates(question)],
+		];
+		for (const [check, run] of fixedChecks) {
+			const result = run();
+			if (typeof result !== 'string') {
+				checks.push({check, passed: false, detail: result.detail});
+				return {
+					...base, outcome: 'refused', reason: result.reason, admittedShare: 0, candidates: [],
+				};
+			}
+
+			checks.push({check, passed: true, detail: result});
+		}
+
+		return {...base, ...this.explainLevel(question, checks)};
+	}
+
+	private checkPolicy(): Refusal | string {
+		return this.policy.current === undefined
+			? {reason: RefusalReason.notReady, detail: 'no policy record is in force yet'}
+			: `revision ${this.policy.revision} is in force`;
+	}
+
+	private checkKind({kind: name}: Question): Refusal | string {
+		const kind = this.policy.current?.kind(name);
+		if (kind === undefined) {
+			return {reason: RefusalReason.unknownKind, detail: 'the policy in force does not name this kind'};
+		}
+
+		const identity = kind.irreversible ? 'irreversible, so the call needs an identity and overload refuses it before one is given' : 'reversible';
+		return `worth ${kind.worth}, ${kind.protected ? 'protected' : 'not protected'}, ${identity}`;
+	}
+
+	private checkService({service}: Question): Refusal | string {
+		return this.fleet.hasService(service)
+			? 'the fleet list names this service'
+			: {reason: RefusalReason.unknownService, detail: 'the fleet list does not name this service'};
+	}
+
+	private checkCandidates(question: Question): Refusal | string {
+		const names = this.candidates(question).map(candidate => candidate.instance);
+		return names.length === 0
+			? {reason: RefusalReason.noTarget, detail: 'every instance that this node may use is leaving or ejected'}
+			: names.join(', ');
+	}
+
+	private explainLevel(question: Question, checks: ExplainedCheck[]): Pick<Explanation, 'outcome' | 'reason' | 'admittedShare' | 'priorities' | 'candidates'> {
+		const candidates = this.candidates(question);
+		const lowest = (this.policy.current!).lowestPriorityOf(question.kind);
+		const highest = lowest + prioritiesPerRank - 1;
+		const level = Math.min(...candidates.map(candidate => candidate.level));
+		const passing = Math.max(0, highest - Math.max(lowest, Math.ceil(level)) + 1);
+		const admittedShare = passing / prioritiesPerRank;
+		checks.push({
+			check: 'level', passed: admittedShare === 1,
+			detail: `priorities ${lowest} to ${highest} against the lowest known level ${level} of ${candidates.length} candidates`,
+		});
+		const outcome = admittedShare === 1 ? 'admitted' : (admittedShare === 0 ? 'shed' : 'partly-shed');
+		return {
+			outcome, admittedShare, priorities: {lowest, highest}, candidates,
+			...(outcome === 'admitted' ? {} : {reason: RefusalReason.overloaded}),
+		};
+	}
+
+	/** The candidates as routing sees them, with this node's own state in place of what it last heard of itself. */
+	private candidates({service, kind}: Question): CandidateView[] {
+		return this.selector.view(service, kind)
+			.filter(candidate => candidate.instance !== this.self.instance || !this.self.leaving.aborted)
+			.map(candidate => candidate.instance === this.self.instance ? {...candidate, level: this.admission.level} : candidate);
+	}
+}
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -13,6 +13,7 @@
 import {Logs, Metrics, StateDumpRegistry} from '@hemlockthread/telemetry';
 import {PeerServer, type LocalPeer} from '@hemlockthread/wire';
 import {container as rootContainer, type DependencyContainer, type InjectionToken} from 'tsyringe';
+import {CallExplainer} from './call-explainer.js';
 import {CallExecutor} from './call-executor.js';
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
@@ -140,7 +141,7 @@
 	dump.register('calls', () => registry.dump());
 	dump.register('peers', () => pool.dump());
 	dump.register('counters', () => metrics.dump());
-	register(OperatorListener, new OperatorListener(dump, policy));
+	register(OperatorListener, new OperatorListener(dump, policy, new CallExplainer(self, policy, fleet, selector, admission)));
 	return container;
 }
 
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,4 +1,6 @@
 /**
  * The read-only command line for operators.
  */
-export const packageName = '@hemlockthread/operator';
+export {runCli} from './lib/run-cli.js';
+export {exitStatus, type ExitStatus} from './lib/operator-command.js';
+export {checkFleetList, fleetListSchema} from './lib/fleet-list-schema.js';
--- /dev/null
+++ b/packages/operator/src/lib/run-cli.ts
@@ -0,0 +1,47 @@
+/**
+ * The command line `hemlockthread`.
+ */
+import {Builtins, Cli, type BaseContext} from 'clipanion';
+import {
+	CheckFleetCommand, CheckPolicyCommand, CheckSettingsCommand, CompareCommand,
+} from './check-commands.js';
+import {DumpCommand} from './dump-command.js';
+import {ExplainCommand} from './explain-command.js';
+import {FollowCommand} from './follow-command.js';
+import {exitStatus} from './operator-command.js';
+import {PublishedCommand} from './published-command.js';
+
+const commands = [
+	CheckPolicyCommand,
+	CheckSettingsCommand,
+	CheckFleetCommand,
+	CompareCommand,
+	PublishedCommand,
+	DumpCommand,
+	FollowCommand,
+	ExplainCommand,
+	Builtins.HelpCommand,
+	Builtins.VersionCommand,
+];
+
+/**
+ * Runs the command line and returns its exit status.
+ *
+ * @public
+ */
+export async function runCli(arguments_: string[], context: Partial<BaseContext> = {}): Promise<number> {
+	const cli = new Cli({binaryLabel: 'hemlockthread, read-only tools for operators', binaryName: 'hemlockthread', binaryVersion: '0.1.0'});
+	for (const command of commands) {
+		cli.register(command);
+	}
+
+	const whole = {...Cli.defaultContext, ...context};
+	try {
+		cli.process(arguments_, whole);
+	} catch (error) {
+		whole.stderr.write(cli.error(error));
+		return exitStatus.usage;
+	}
+
+	return cli.run(arguments_, whole);
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,5 +2,5 @@
  * The choice of a target instance for each call.
  */
 export {
-	TargetSelector, routingOptions, type Candidate, type ChoiceRequest, type CallOutcome,
+	TargetSelector, routingOptions, type Candidate, type ChoiceRequest, type CallOutcome, type CandidateView,
 } from './lib/target-selector.js';
--- a/packages/routing/src/lib/target-selector.ts
+++ b/packages/routing/src/lib/target-selector.ts
@@ -34,6 +34,15 @@
 	finish(outcome: CallOutcome, latencyMilliseconds: number, level?: number): void;
 };
 
+/** What this node knows of one candidate. @public */
+export type CandidateView = {
+	instance: string;
+	failureDomain: string;
+	/** Lowest priority that the instance is known to admit. */
+	level: number;
+	inProgress: number;
+};
+
 type Statistics = {
 	inProgress: number;
 	latency: number;
@@ -80,6 +89,13 @@
 		return this.start(instance, rootKind);
 	}
 
+	/** Lists the candidates of a service without choosing one. */
+	view(service: string, rootKind: string): CandidateView[] {
+		return this.subset(service).map(({name, failureDomain}) => ({
+			instance: name, failureDomain, level: this.levelOf(name, rootKind), inProgress: this.statistics.get(name)?.inProgress ?? 0,
+		}));
+	}
+
 	dump(): unknown {
 		return Object.fromEntries([...this.statistics].slice(0, 200).map(([name, statistics]) =>
 			[name, {inProgress: statistics.inProgress, latencyMilliseconds: statistics.latency}]));
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -62,8 +62,9 @@
 export class FleetDriver {
 	readonly platform = new PlatformStandIn();
 	readonly instances = new Map<string, DrivenInstance>();
+	/** Base URL of the platform stand-in, once started. */
+	platformUrl = '';
 	private readonly directory = mkdtempSync(path.join(tmpdir(), 'hemlockthread-'));
-	private platformUrl = '';
 
 	async start(plan: FleetPlan): Promise<void> {
 		const [platformPort] = await freePorts('127.0.0.1', 1);
--- a/xo.config.js
+++ b/xo.config.js
@@ -22,6 +22,13 @@
 			'import-x/no-unassigned-import': ['error', {allow: ['reflect-metadata']}],
 		},
 	},
+	{
+		files: ['packages/operator/**'],
+		rules: {
+			// clipanion's functions that declare options and usage have capital initials.
+			'new-cap': ['error', {capIsNewExceptionPattern: String.raw`^(Option|Command)\.`}],
+		},
+	},
 	{
 		files: ['**/*.test.ts', 'vitest.config.ts'],
 		rules: {
