telemetry: Bound state dumps and hide secrets in dumps and logs

Cause: the dump relied on each source to be bounded and free of secrets, and nothing tested what a StatsD receiver gets.

Change: redact copies a value with limits on depth, entries and characters and hides secrets by field name and tokens wherever they stand; the state dump and the logs use it. A StatsD stand-in reads datagrams.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -2,6 +2,7 @@
  * Stand-ins for what lies outside the system: the configuration service, targets and the network between processes.
  */
 export {PlatformStandIn} from './lib/platform.js';
+export {StatsDStandIn, type StatsDLine} from './lib/statsd.js';
 export {
 	TargetStandIn, type TargetPlan, type TargetRun, type TargetKindPlan, type TargetLegPlan,
 } from './lib/target.js';
--- a/packages/telemetry/src/lib/logs.ts
+++ b/packages/telemetry/src/lib/logs.ts
@@ -3,6 +3,7 @@
  */
 import process from 'node:process';
 import loglevel, {type Logger} from 'loglevel';
+import {redact} from './redact.js';
 
 /** @public */
 export type LogLevelName = 'debug' | 'info' | 'warn' | 'error';
@@ -11,7 +12,7 @@
 export type LogFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
 /**
- * Writes structured log lines to standard error.
+ * Writes structured log lines to standard error. Secrets and tokens in them are hidden.
  *
  * @public
  */
@@ -24,7 +25,7 @@
 			const line = {
 				time: new Date().toISOString(), level: methodName, event, ...fields, ...lineFields,
 			};
-			process.stderr.write(JSON.stringify(line) + '\n');
+			process.stderr.write(JSON.stringify(redact(line)) + '\n');
 		};
 
 		this.logger.setLevel(level, false);
--- a/packages/telemetry/src/lib/state-dump.ts
+++ b/packages/telemetry/src/lib/state-dump.ts
@@ -1,9 +1,10 @@
 /**
- * The state dump: each manager registers a function that returns a bounded summary of its state.
+ * The state dump: each manager registers a function that returns a summary of its state.
  */
+import {redact} from './redact.js';
 
 /**
- * Returns a plain, bounded value without secrets.
+ * Returns a plain value. The registry bounds it and hides secrets in it.
  *
  * @public
  */
@@ -26,9 +27,9 @@
 		const dump: Record<string, unknown> = {};
 		for (const [name, source] of this.sources) {
 			try {
-				dump[name] = source();
+				dump[name] = redact(source());
 			} catch (error) {
-				dump[name] = {error: String(error)};
+				dump[name] = redact({error: String(error)});
 			}
 		}
 
