--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -129,6 +129,12 @@
 	register(CallerListener, new CallerListener(self, policy, forwarder, new RootCalls(policy, forwarder, authority), pauses, metrics));
 	register(TargetListener, new TargetListener(self, new DownstreamCalls(policy, forwarder, registry, metrics)));
 
+	metrics.observe('admission.active', () => admission.active);
+	metrics.observe('admission.level', () => admission.level);
+	metrics.observe('calls.active', () => registry.size);
+	metrics.observe('operations.entries', () => operations.size);
+	metrics.observe('policy.revision', () => policy.revision);
+
 	const dump = register(StateDumpRegistry, new StateDumpRegistry());
 	dump.register('node', () => ({
 		instance: self.instance, incarnation: self.incarnation, service: self.service, failureDomain: self.failureDomain,
--- a/packages/telemetry/src/lib/metrics.ts
+++ b/packages/telemetry/src/lib/metrics.ts
@@ -18,6 +18,8 @@
 
 const metricPrefix = 'hemlockthread.';
 const maximumTotals = 1024;
+/** Time between two readings of the observed gauges. */
+const observeMilliseconds = 10_000;
 /** Datagram size below the usual Ethernet MTU, so that lines are batched without fragmentation. */
 const maximumDatagramBytes = 1400;
 
@@ -31,6 +33,8 @@
 	private readonly sending: boolean;
 	private readonly totals = new Map<string, number>();
 	private readonly gauges = new Map<string, number>();
+	private readonly observed = new Map<string, () => number>();
+	private readonly observer: NodeJS.Timeout;
 
 	constructor(options: MetricsOptions = {}) {
 		this.sending = options.host !== undefined;
@@ -45,6 +49,10 @@
 				// A lost metric must not disturb calls.
 			},
 		});
+		this.observer = setInterval(() => {
+			this.readObserved();
+		}, observeMilliseconds);
+		this.observer.unref();
 	}
 
 	count(name: string, tags?: MetricTags, value = 1): void {
@@ -68,6 +76,11 @@
 		}
 	}
 
+	/** Reads a gauge regularly, for state that changes too often to report each change. */
+	observe(name: string, read: () => number): void {
+		this.observed.set(name, read);
+	}
+
 	timing(name: string, milliseconds: number, tags?: MetricTags): void {
 		if (this.sending) {
 			this.client.timing(name, milliseconds, tags);
@@ -80,14 +93,23 @@
 	}
 
 	dump(): Record<string, number> {
+		this.readObserved();
 		return Object.fromEntries([...this.totals, ...this.gauges].toSorted(([first], [second]) => first < second ? -1 : 1));
 	}
 
 	async close(): Promise<void> {
+		clearInterval(this.observer);
+		this.readObserved();
 		return new Promise(resolve => {
 			this.client.close(() => {
 				resolve();
 			});
 		});
 	}
+
+	private readObserved(): void {
+		for (const [name, read] of this.observed) {
+			this.gauge(name, read());
+		}
+	}
 }
--- a/packages/telemetry/src/lib/telemetry.test.ts
+++ b/packages/telemetry/src/lib/telemetry.test.ts
@@ -29,6 +29,7 @@
 			metrics.count('call.retried');
 		}
 
+		metrics.observe('calls.active', () => 7);
 		metrics.count('last');
 		await metrics.close();
 		await receiver.waitFor('hemlockthread.last');
@@ -43,6 +44,7 @@
 				name: 'hemlockthread.call.duration', value: 1.5, type: 'ms', tags: {service: 'racks'},
 			},
 		]);
+		expect(await receiver.waitFor('hemlockthread.calls.active')).toMatchObject({value: 7, type: 'g'});
 		expect(Math.max(...receiver.datagramBytes)).toBeLessThanOrEqual(1500);
 		expect(receiver.datagramBytes.length).toBeLessThan(receiver.lines.length);
 		await receiver.close();
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -46,6 +46,8 @@
 	target: TargetStandIn;
 	callerUrl: string;
 	operatorUrl: string;
+	/** Base URL of the node's listener for its target. */
+	targetListenerUrl: string;
 	peerAddress: string;
 	settingsPath: string;
 	/** Relays of an instance that was planned as relayed. */
@@ -181,7 +183,7 @@
 		await standIn.listen(host, target);
 		this.instances.set(plan.name, {
 			name: plan.name, target: standIn, settingsPath,
-			relays: relays?.relays, callerUrl: `http://${host}:${published.callers}`, operatorUrl: `http://${host}:${operators}`, peerAddress: `${host}:${published.peers}`,
+			relays: relays?.relays, callerUrl: `http://${host}:${published.callers}`, operatorUrl: `http://${host}:${operators}`, targetListenerUrl: `http://${host}:${nodeForTarget}`, peerAddress: `${host}:${published.peers}`,
 			process: undefined as unknown as ChildProcess,
 			fleetEntry: {
 				name: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test', slots,
