--- a/packages/node/src/lib/peer-handlers.ts
+++ b/packages/node/src/lib/peer-handlers.ts
@@ -22,8 +22,8 @@
 	executor!: Pick<CallExecutor, 'execute'>;
 
 	constructor(
-		private readonly distributor: Pick<RecordDistributor, 'receive'>,
-		private readonly fleet: Pick<FleetView, 'noteJoined' | 'noteLeaving'>,
+		private readonly distributor: Pick<RecordDistributor, 'receive' | 'peerReady' | 'peerClosed'>,
+		private readonly fleet: Pick<FleetView, 'noteConnected' | 'noteDisconnected' | 'noteJoined' | 'noteLeaving'>,
 		private readonly authority: IdentityAuthority,
 		private readonly logs: Pick<Logs, 'info'>,
 		private readonly timing: NodeTiming = processTiming,
@@ -53,14 +53,28 @@
 	}
 
 	onReady(peer: PeerConnection): void {
-		if (peer.remote !== undefined && !peer.remoteLeaving) {
-			this.fleet.noteJoined(peer.remote.instance);
+		const {remote} = peer;
+		if (remote === undefined) {
+			return;
+		}
+
+		this.distributor.peerReady(peer);
+		this.fleet.noteConnected(remote.instance);
+		if (!peer.remoteLeaving) {
+			this.fleet.noteJoined(remote.instance, remote.incarnation);
+		}
+	}
+
+	onClosed(peer: PeerConnection): void {
+		this.distributor.peerClosed(peer);
+		if (peer.greeted && peer.remote !== undefined) {
+			this.fleet.noteDisconnected(peer.remote.instance);
 		}
 	}
 
 	onLeaving(peer: PeerConnection): void {
 		if (peer.remote !== undefined) {
-			this.fleet.noteLeaving(peer.remote.instance);
+			this.fleet.noteLeaving(peer.remote.instance, peer.remote.incarnation);
 			this.logs.info('peer is leaving', {peer: peer.remote.instance});
 		}
 	}
--- a/packages/wire/src/lib/peer-connection.ts
+++ b/packages/wire/src/lib/peer-connection.ts
@@ -19,6 +19,8 @@
 export const connectionOptions = {
 	/** Time between heartbeats on control connections. */
 	heartbeatMilliseconds: 1000,
+	/** Silence on a control connection after which the peer is asked for a heartbeat. */
+	echoAfterMilliseconds: 1500,
 	/** A connection that is expected to answer and stays silent this long is closed. */
 	silenceLimitMilliseconds: 3000,
 	/** Longest wait for the peer's hello. */
@@ -29,6 +31,9 @@
 	maximumRequests: 4096,
 } as const;
 
+/** @public */
+export type ConnectionOptions = Record<keyof typeof connectionOptions, number>;
+
 /** What the local node tells its peers about itself. @public */
 export type LocalPeer = {
 	instance: string;
@@ -37,8 +42,13 @@
 	failureDomain: string;
 	isLeaving(): boolean;
 	revisions(): Revisions;
+	/** Time since the newest answer of the configuration service known here; undefined when there was none. */
+	platformAge?(): number | undefined;
 };
 
+/** Frames and payload bytes of one connection. @public */
+export type PeerTraffic = {sentFrames: number; sentBytes: number; receivedFrames: number; receivedBytes: number};
+
 /** @public */
 export type RequestBody = Omit<RequestFrame, 'type' | 'identifier' | 'sentAt' | 'heard'>;
 
@@ -79,15 +89,25 @@
 export class PeerConnection {
 	/** The peer's hello; undefined until it arrived. */
 	remote: HelloFrame | undefined;
+	/** True once hello frames were exchanged and `onReady` was called. */
+	greeted = false;
 	/** True once the peer said that it leaves the fleet. */
 	remoteLeaving = false;
-	/** True where heartbeats are sent all the time and not only while calls wait. */
+	/** True where this side keeps the connection open for control. */
 	control = false;
+	/** True where the peer keeps the connection open for control. */
+	remoteControl = false;
+	readonly traffic: PeerTraffic = {
+		sentFrames: 0, sentBytes: 0, receivedFrames: 0, receivedBytes: 0,
+	};
+
 	/** Monotonic time of the last call on this connection. */
 	lastUsedAt = performance.now();
 
 	private nextIdentifier = 0;
 	private lastReceivedAt = performance.now();
+	/** Since when an answer is owed by the peer. */
+	private waitingSince = performance.now();
 	private readonly pending = new Map<number, PendingCall>();
 	private readonly incoming = new Map<number, AbortController>();
 	private readonly clock = new LinkClock();
@@ -111,6 +131,7 @@
 		},
 		heartbeat: (frame, receivedAt) => {
 			this.clock.age(frame.sentAt, frame.heard, receivedAt);
+			this.remoteControl = frame.control === true;
 			this.noteLeaving(frame.leaving);
 			if (frame.echo) {
 				this.sendHeartbeat(false);
@@ -134,7 +155,9 @@
 		private readonly local: LocalPeer,
 		private readonly handlers: PeerHandlers,
 		private readonly metrics: Metrics,
-		private readonly dialled: boolean,
+		/** True on the side that opened the connection. */
+		readonly dialled: boolean,
+		private readonly options: ConnectionOptions = connectionOptions,
 	) {
 		this.helloReceived = new Promise(resolve => {
 			this.acceptHello = resolve;
@@ -164,6 +187,25 @@
 		return this.socket.readyState === 1 && this.remote !== undefined && !this.closing.signal.aborted;
 	}
 
+	/** True while either side keeps the connection open for control; heartbeats are then sent all the time. */
+	get heldForControl(): boolean {
+		return this.control || this.remoteControl;
+	}
+
+	/** Bytes that wait to be written. */
+	get bufferedBytes(): number {
+		return this.socket.bufferedAmount;
+	}
+
+	/** Keeps the connection open for control, or stops to, and tells the peer. */
+	holdControl(hold: boolean): void {
+		if (this.control !== hold) {
+			this.control = hold;
+			this.waitingSince = performance.now();
+			this.sendHeartbeat(false);
+		}
+	}
+
 	/** Exchanges hello frames, then checks until the end that the peer is alive. */
 	async run(): Promise<void> {
 		try {
@@ -176,6 +218,7 @@
 				await this.ready();
 			}
 
+			this.greeted = true;
 			this.handlers.onReady?.(this);
 			await this.watchPeer();
 		} catch {
@@ -189,7 +232,7 @@
 	async ready(): Promise<HelloFrame> {
 		return Promise.race([
 			this.helloReceived,
-			this.failAfter(connectionOptions.helloTimeoutMilliseconds),
+			this.failAfter(this.options.helloTimeoutMilliseconds),
 		]);
 	}
 
@@ -199,8 +242,8 @@
 	 * @throws CallError with `did-not-run` when nothing was sent, else with `may-have-run`.
 	 */
 	async call(body: RequestBody, signal: AbortSignal): Promise<AnswerFrame> {
-		if (!this.usable || this.pending.size >= connectionOptions.maximumRequests
-			|| this.socket.bufferedAmount > connectionOptions.maximumBufferedBytes) {
+		if (!this.usable || this.pending.size >= this.options.maximumRequests
+			|| this.socket.bufferedAmount > this.options.maximumBufferedBytes) {
 			throw callError('no usable connection to the peer', Verdict.didNotRun, RefusalReason.connectionLost);
 		}
 
@@ -210,6 +253,10 @@
 
 		const identifier = this.nextIdentifier++;
 		this.lastUsedAt = performance.now();
+		if (this.pending.size === 0) {
+			this.waitingSince = this.lastUsedAt;
+		}
+
 		return new Promise<AnswerFrame>((resolve, reject) => {
 			const onAbort = () => {
 				this.pending.delete(identifier);
@@ -236,14 +283,25 @@
 
 	send(frame: Frame): void {
 		if (this.socket.readyState === 1) {
-			this.socket.send(encodeFrame(frame));
+			const bytes = encodeFrame(frame);
+			this.traffic.sentFrames += 1;
+			this.traffic.sentBytes += bytes.length;
+			this.socket.send(bytes);
 		}
 	}
 
 	/** Tells the peer the current revisions and whether this node leaves. */
 	sendHeartbeat(echo: boolean): void {
+		const age = this.local.platformAge?.();
 		this.send({
-			type: 'heartbeat', revisions: this.local.revisions(), leaving: this.local.isLeaving(), echo, sentAt: performance.now(), heard: this.clock.heard,
+			type: 'heartbeat',
+			revisions: this.local.revisions(),
+			leaving: this.local.isLeaving(),
+			echo,
+			control: this.control,
+			platformAgeMilliseconds: age === undefined ? undefined : Math.round(age),
+			sentAt: performance.now(),
+			heard: this.clock.heard,
 		});
 	}
 
@@ -273,6 +331,8 @@
 	private receive(data: Uint8Array): void {
 		const receivedAt = performance.now();
 		this.lastReceivedAt = receivedAt;
+		this.traffic.receivedFrames += 1;
+		this.traffic.receivedBytes += data.length;
 		try {
 			const frame = decodeFrame(data);
 			if (frame === undefined) {
@@ -304,7 +364,7 @@
 
 	private async receiveRequest(frame: RequestFrame, receivedAt: number): Promise<void> {
 		const ageMilliseconds = this.clock.age(frame.sentAt, frame.heard, receivedAt);
-		if (this.incoming.has(frame.identifier) || this.incoming.size >= connectionOptions.maximumRequests) {
+		if (this.incoming.has(frame.identifier) || this.incoming.size >= this.options.maximumRequests) {
 			this.metrics.count('peer.request.dropped');
 			return;
 		}
@@ -354,23 +414,27 @@
 	private async watchPeer(): Promise<void> {
 		let checkedAt = performance.now();
 		while (!this.closing.signal.aborted) {
-			await delay(connectionOptions.heartbeatMilliseconds, undefined, {signal: this.closing.signal, ref: false});
+			await delay(this.options.heartbeatMilliseconds, undefined, {signal: this.closing.signal, ref: false});
 			const now = performance.now();
-			const pausedHere = now - checkedAt > 2 * connectionOptions.heartbeatMilliseconds;
+			const pausedHere = now - checkedAt > 2 * this.options.heartbeatMilliseconds;
 			checkedAt = now;
-			if (!this.control && this.pending.size === 0) {
+			if (!this.heldForControl && this.pending.size === 0) {
 				continue;
 			}
 
-			const silence = now - this.lastReceivedAt;
+			// Silence while nothing was asked of the peer says nothing.
+			const silence = now - Math.max(this.lastReceivedAt, this.waitingSince);
 			// After a pause of this process the silence says nothing about the peer.
-			if (!pausedHere && silence > connectionOptions.silenceLimitMilliseconds) {
+			if (!pausedHere && silence > this.options.silenceLimitMilliseconds) {
 				this.metrics.count('peer.silent');
 				return;
 			}
 
-			if (this.control || silence > connectionOptions.heartbeatMilliseconds) {
-				this.sendHeartbeat(!this.control);
+			if (this.heldForControl) {
+				// A peer of a version without the `control` field sends no heartbeats of its own, but answers.
+				this.sendHeartbeat(silence > this.options.echoAfterMilliseconds);
+			} else if (silence > this.options.heartbeatMilliseconds) {
+				this.sendHeartbeat(true);
 			}
 		}
 	}
