--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -15,6 +15,7 @@
 import {Logs, Metrics, StateDumpRegistry} from '@hemlockthread/telemetry';
 import {PeerServer, type LocalPeer} from '@hemlockthread/wire';
 import {container as rootContainer, type DependencyContainer, type InjectionToken} from 'tsyringe';
+import {CallExplainer} from './call-explainer.js';
 import {CallExecutor} from './call-executor.js';
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
@@ -139,6 +140,12 @@
 	register(CallerListener, new CallerListener(self, policy, forwarder, new RootCalls(policy, forwarder, authority), pauses, metrics));
 	register(TargetListener, new TargetListener(self, new DownstreamCalls(policy, forwarder, registry, metrics)));
 
+	metrics.observe('admission.active', () => admission.active);
+	metrics.observe('admission.level', () => admission.level);
+	metrics.observe('calls.active', () => registry.size);
+	metrics.observe('operations.entries', () => operations.size);
+	metrics.observe('policy.revision', () => policy.revision);
+
 	const dump = register(StateDumpRegistry, new StateDumpRegistry());
 	dump.register('node', () => ({
 		instance: self.instance, incarnation: self.incarnation, service: self.service, failureDomain: self.failureDomain,
@@ -154,7 +161,7 @@
 	dump.register('calls', () => registry.dump());
 	dump.register('peers', () => pool.dump());
 	dump.register('counters', () => metrics.dump());
-	register(OperatorListener, new OperatorListener(dump, policy));
+	register(OperatorListener, new OperatorListener(dump, policy, new CallExplainer(self, policy, fleet, selector, admission)));
 	return container;
 }
 
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -46,6 +46,8 @@
 	target: TargetStandIn;
 	callerUrl: string;
 	operatorUrl: string;
+	/** Base URL of the node's listener for its target. */
+	targetListenerUrl: string;
 	peerAddress: string;
 	settingsPath: string;
 	/** Relays of an instance that was planned as relayed. */
@@ -71,8 +73,9 @@
 export class FleetDriver {
 	readonly platform = new PlatformStandIn();
 	readonly instances = new Map<string, DrivenInstance>();
+	/** Base URL of the platform stand-in, once started. */
+	platformUrl = '';
 	private readonly directory = mkdtempSync(path.join(tmpdir(), 'hemlockthread-'));
-	private platformUrl = '';
 
 	async start(plan: FleetPlan): Promise<void> {
 		const [platformPort] = await freePorts('127.0.0.1', 1);
@@ -180,7 +183,7 @@
 		await standIn.listen(host, target);
 		this.instances.set(plan.name, {
 			name: plan.name, target: standIn, settingsPath,
-			relays: relays?.relays, callerUrl: `http://${host}:${published.callers}`, operatorUrl: `http://${host}:${operators}`, peerAddress: `${host}:${published.peers}`,
+			relays: relays?.relays, callerUrl: `http://${host}:${published.callers}`, operatorUrl: `http://${host}:${operators}`, targetListenerUrl: `http://${host}:${nodeForTarget}`, peerAddress: `${host}:${published.peers}`,
 			process: undefined as unknown as ChildProcess,
 			fleetEntry: {
 				name: plan.name, service: plan.service, failureDomain: plan.failureDomain, region: 'test', slots,
