--- a/packages/node/src/lib/call-explainer.test.ts
+++ b/packages/node/src/lib/call-explainer.test.ts
@@ -23,7 +23,7 @@
 	listen: {
 		peers: address, callers: address, target: address, operators: address,
 	},
-	targetUrl: '', targetSlots: 1, platformUrl: '', identityKeys: [], logLevel: 'error', shutdownGraceMilliseconds: 0, controls: 'on',
+	targetUrl: '', targetSlots: 1, platformUrl: '', bootstrapPeers: [], identityKeys: [], logLevel: 'error', shutdownGraceMilliseconds: 0, controls: 'on',
 };
 const instance = (name: string, service: string): FleetInstance => ({
 	name, service, failureDomain: 'a', region: 'r', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:2', operatorAddress: '127.0.0.1:3', slots: 1, state: 'live',
@@ -41,7 +41,7 @@
 	const fleet = new FleetView(settings);
 	const others = [instance('releases-1', 'releases'), instance('releases-2', 'releases')];
 	fleet.replace({schemaVersion: 1, instances: [instance('racks-1', 'racks'), instance('intake-1', 'intake'), ...others]});
-	fleet.noteLeaving('intake-1');
+	fleet.noteLeaving('intake-1', 'an incarnation');
 	const selector = new TargetSelector(settings, fleet);
 	for (const other of others) {
 		selector.begin(other, 'stock-view').finish('refused', 1, level);
