--- a/packages/node/src/lib/call-executor.ts
+++ b/packages/node/src/lib/call-executor.ts
@@ -100,8 +100,9 @@
 	private async attemptOperation(operation: Operation, call: Call, generation: number): Promise<CallResult> {
 		let started = false;
 		const refused = this.refusalOf(call);
+		const attempted = {...call, allowance: operation.allowance ?? call.allowance, repeated: call.repeated || operation.reachedTarget};
 		const result = refused === undefined
-			? await this.attempt({...call, allowance: operation.allowance ?? call.allowance}, () => {
+			? await this.attempt(attempted, () => {
 				started = operation.start(generation);
 				return started;
 			})
