--- a/packages/node/src/lib/collaborators.ts
+++ b/packages/node/src/lib/collaborators.ts
@@ -14,7 +14,7 @@
 import type {TargetClient} from './target-client.js';
 
 /** @public */
-export type SelfView = Pick<NodeIdentity, 'instance' | 'service' | 'incarnation' | 'leaving' | 'leave'>;
+export type SelfView = Pick<NodeIdentity, 'instance' | 'service' | 'leaving' | 'leave'> & {readonly incarnation: string};
 
 /** @public */
 export type PolicySource = Pick<PolicyInForce, 'current'>;
@@ -29,7 +29,7 @@
 export type FleetLookup = Pick<FleetView, 'instance' | 'hasService'>;
 
 /** @public */
-export type TargetChooser = Pick<TargetSelector, 'choose' | 'begin'>;
+export type TargetChooser = Pick<TargetSelector, 'choose' | 'begin'> & Partial<Pick<TargetSelector, 'levelOf'>>;
 
 /** @public */
 export type PeerLink = Pick<PeerConnection, 'call' | 'remote' | 'remoteLeaving'>;
--- a/packages/node/src/lib/start-node.ts
+++ b/packages/node/src/lib/start-node.ts
@@ -15,11 +15,15 @@
 import {Logs, Metrics, StateDumpRegistry} from '@hemlockthread/telemetry';
 import {PeerServer, type LocalPeer} from '@hemlockthread/wire';
 import {container as rootContainer, type DependencyContainer, type InjectionToken} from 'tsyringe';
+import {CallExplainer} from './call-explainer.js';
 import {CallExecutor} from './call-executor.js';
 import {CallForwarder} from './call-forwarder.js';
 import {CallRegistry} from './call-registry.js';
 import {CallerListener} from './caller-listener.js';
+import {processTiming} from './collaborators.js';
 import {DownstreamCalls} from './downstream-calls.js';
+import {FatalErrors} from './fatal-errors.js';
+import {startListener} from './listen-error.js';
 import {NodeIdentity} from './node-identity.js';
 import {OperatorListener} from './operator-listener.js';
 import {PauseDetector} from './pause-detector.js';
@@ -53,10 +57,14 @@
 	const logs = container.resolve(Logs);
 	const running = new AbortController();
 
-	await container.resolve(PeerServer).listen(settings.listen.peers.host, settings.listen.peers.port);
-	await container.resolve(TargetListener).listen(settings.listen.target);
-	await container.resolve(OperatorListener).listen(settings.listen.operators);
-	await container.resolve(CallerListener).listen(settings.listen.callers);
+	const fatalErrors = container.resolve(FatalErrors);
+	fatalErrors.install();
+
+	const {peers, target, operators, callers} = settings.listen;
+	await startListener('peers', peers, async () => container.resolve(PeerServer).listen(peers.host, peers.port));
+	await startListener('target', target, async () => container.resolve(TargetListener).listen(target));
+	await startListener('operators', operators, async () => container.resolve(OperatorListener).listen(operators));
+	await startListener('callers', callers, async () => container.resolve(CallerListener).listen(callers));
 	void container.resolve(RecordDistributor).run(running.signal, async address => container.resolve(PeerPool).connect(address, 'control'));
 	self.leaving.addEventListener('abort', () => {
 		logs.info('leaving the fleet');
@@ -78,6 +86,7 @@
 			running.abort();
 			await closeAll(container);
 			logs.info('node stopped');
+			fatalErrors.remove();
 			finish();
 		},
 	};
@@ -93,6 +102,7 @@
 	const self = register(NodeIdentity, new NodeIdentity(settings));
 	const logs = register(Logs, new Logs('hemlockthread-node', settings.logLevel, {instance: settings.instance}));
 	const metrics = register(Metrics, new Metrics({...settings.statsd, tags: {instance: settings.instance, service: settings.service}}));
+	register(FatalErrors, new FatalErrors(logs, metrics));
 	const clock = new ProcessClock();
 	const authority = new IdentityAuthority(settings.identityKeys);
 	const store = register(RecordStore, new RecordStore({deferredKeys: distributionOptions.deferredKeys}));
@@ -104,8 +114,11 @@
 		options: {startSpreadMilliseconds: settings.startSpreadMilliseconds},
 		bootstrapPeers: settings.bootstrapPeers.map(({host, port}) => `${host}:${port}`),
 	}));
-	const selector = register(TargetSelector, new TargetSelector(settings, fleet));
-	const admission = register(AdmissionController, new AdmissionController({...admissionOptions, slots: settings.targetSlots}));
+	const selector = register(TargetSelector, new TargetSelector(settings, fleet, {controls: settings.controls, metrics, logs}));
+	const admission = register(AdmissionController, new AdmissionController({
+		...admissionOptions, slots: settings.targetSlots, controls: settings.controls, metrics,
+		coldStartRampMilliseconds: () => policy.current?.content.coldStartRampMilliseconds ?? 0,
+	}));
 	const registry = register(CallRegistry, new CallRegistry());
 	const operations = register(OperationTable, new OperationTable(self, clock));
 	const target = register(TargetClient, new TargetClient(settings.targetUrl, settings.targetSlots));
@@ -116,17 +129,24 @@
 	};
 	register(PeerServer, new PeerServer(local, handlers, metrics));
 	const pool = register(PeerPool, new PeerPool(local, handlers, metrics));
-	const executor = new CallExecutor(self, policy, admission, operations, registry, authority, target, metrics);
+	const executor = new CallExecutor(self, policy, admission, operations, registry, authority, target, metrics, processTiming, settings.controls);
 	handlers.executor = executor;
-	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics);
+	const forwarder = new CallForwarder(self, policy, fleet, selector, pool, executor, authority, clock, metrics, processTiming, settings.controls);
 	const pauses = register(PauseDetector, new PauseDetector(milliseconds => {
 		distributor.notePause(milliseconds);
 		metrics.count('process.paused');
+		selector.notePause();
 		logs.warn('process was paused', {milliseconds: Math.round(milliseconds)});
 	}));
 	register(CallerListener, new CallerListener(self, policy, forwarder, new RootCalls(policy, forwarder, authority), pauses, metrics));
 	register(TargetListener, new TargetListener(self, new DownstreamCalls(policy, forwarder, registry, metrics)));
 
+	metrics.observe('admission.active', () => admission.active);
+	metrics.observe('admission.level', () => admission.level);
+	metrics.observe('calls.active', () => registry.size);
+	metrics.observe('operations.entries', () => operations.size);
+	metrics.observe('policy.revision', () => policy.revision);
+
 	const dump = register(StateDumpRegistry, new StateDumpRegistry());
 	dump.register('node', () => ({
 		instance: self.instance, incarnation: self.incarnation, service: self.service, failureDomain: self.failureDomain,
@@ -142,7 +162,7 @@
 	dump.register('calls', () => registry.dump());
 	dump.register('peers', () => pool.dump());
 	dump.register('counters', () => metrics.dump());
-	register(OperatorListener, new OperatorListener(dump, policy));
+	register(OperatorListener, new OperatorListener(dump, policy, new CallExplainer(self, policy, fleet, selector, admission)));
 	return container;
 }
 
