--- a/packages/routing/src/lib/target-selector.ts
+++ b/packages/routing/src/lib/target-selector.ts
@@ -138,10 +138,12 @@
 		return members.length === 0 ? 0 : Math.min(...members.map(member => this.levelAt(member, rootKind, now)));
 	}
 
-	/** Lists the candidates of a service without choosing one. */
+	/** Lists the candidates of a service without choosing one and without a trace in the statistics. */
 	view(service: string, rootKind: string): CandidateView[] {
 		const now = this.now();
-		return this.subsetOf(service, now).members.map(({instance, statistics}) => ({
+		const members = this.heldSubset(service, now)?.members
+			?? this.rank(this.fleet.candidates(service), name => this.statistics.get(name) ?? new CandidateStatistics());
+		return members.map(({instance, statistics}) => ({
 			instance: instance.name, failureDomain: instance.failureDomain, level: statistics.levelOf(rootKind, now), inProgress: statistics.inProgress,
 		}));
 	}
@@ -158,16 +160,13 @@
 	}
 
 	private subsetOf(service: string, now: number): Subset {
-		const held = this.subsets.get(service);
-		const first = held?.members[0]?.instance;
-		// Each new list has new instance objects.
-		if (held !== undefined && first !== undefined && now - held.readAt < routingOptions.subsetLifetimeMilliseconds
-			&& this.fleet.instance(first.name) === first) {
+		const held = this.heldSubset(service, now);
+		if (held !== undefined) {
 			return held;
 		}
 
 		this.prune(now);
-		const members = this.rank(this.fleet.candidates(service));
+		const members = this.rank(this.fleet.candidates(service), name => this.statisticsOf(name));
 		const subset = {members, readAt: now};
 		if (members.length === 0) {
 			this.subsets.delete(service);
@@ -178,13 +177,23 @@
 		return subset;
 	}
 
-	private rank(all: readonly FleetInstance[]): Member[] {
+	/** The cached subset, if it is still valid for the fleet view. */
+	private heldSubset(service: string, now: number): Subset | undefined {
+		const held = this.subsets.get(service);
+		const first = held?.members[0]?.instance;
+		// Each new list has new instance objects.
+		const isValid = held !== undefined && first !== undefined && now - held.readAt < routingOptions.subsetLifetimeMilliseconds
+			&& this.fleet.instance(first.name) === first;
+		return isValid ? held : undefined;
+	}
+
+	private rank(all: readonly FleetInstance[], statisticsFor: (name: string) => CandidateStatistics): Member[] {
 		const isInside = (instance: FleetInstance) => instance.failureDomain === this.self.failureDomain;
 		const ranked = (instances: FleetInstance[], count: number) => highestRanked(this.self.instance, instances, instance => instance.name, count);
 		return [
 			...ranked(all.filter(instance => isInside(instance)), routingOptions.subsetInside),
 			...ranked(all.filter(instance => !isInside(instance)), routingOptions.subsetOutside),
-		].map(instance => ({instance, isInside: isInside(instance), statistics: this.statisticsOf(instance.name)}));
+		].map(instance => ({instance, isInside: isInside(instance), statistics: statisticsFor(instance.name)}));
 	}
 
 	/** Returns the own domain's choice unless it is loaded and another domain's choice is clearly better. */
--- a/packages/settings/src/lib/node-settings.ts
+++ b/packages/settings/src/lib/node-settings.ts
@@ -46,6 +46,8 @@
 	platformUrl: httpUrl('Base URL of the configuration service.'),
 	bootstrapPeers: z.array(addressSchema).max(64).default([])
 		.meta({description: 'Peer listeners of other nodes, asked at start until a fleet list is known.'}),
+	startSpreadMilliseconds: z.int().min(0).max(60_000).default(2000)
+		.meta({description: 'Longest random wait of a starting node before it reads the configuration service itself. Milliseconds.'}),
 	identityKeys: z.array(z.strictObject({
 		id: name('Key id, sent in identities.'),
 		secret: z.string().min(32).max(1024).meta({description: 'Shared secret, the same at every node for the same id.'}),
