--- a/packages/load/src/lib/report.ts
+++ b/packages/load/src/lib/report.ts
@@ -5,7 +5,9 @@
 import {drawPanels, type ChartPanel} from './chart.js';
 import {outcomes} from './recorder.js';
 import type {ExperimentResult} from './run-experiment.js';
-import {percent, recoveryText, total} from './summary.js';
+import {
+	invalidity, percent, recoveryText, total,
+} from './summary.js';
 
 /** The bounds of section 1.2 of the design page. @public */
 export const bounds = {
@@ -119,6 +121,7 @@
 
 function describeResult(result: ExperimentResult): string[] {
 	const {experiment, machine, seed, usage, series, totals, measures} = result;
+	const invalid = invalidity(result);
 	const busiest = Object.entries(usage.processPeaks).toSorted(([, first], [, second]) => second - first)[0];
 	return [
 		`## ${experiment.name}`,
@@ -129,6 +132,7 @@
 		+ `load average ${machine.loadAverage.toFixed(1)} before the run. Busiest process ${busiest?.[0] ?? 'none'}: ${percent(busiest?.[1] ?? 0, 0)} of a core; `
 		+ `all cores at most ${percent(usage.machinePeak, 0)} busy; arrivals at most ${usage.largestArrivalDelayMilliseconds.toFixed(0)} ms late.`,
 		'',
+		...(invalid === undefined ? [] : [`**${invalid}**`, '']),
 		...table(judge(result)),
 		`| kind | worth | offered | ${outcomes.join(' | ')} | requests sent | median ms | p99 ms |`,
 		`|---|--:|--:|${outcomes.map(() => '--:|').join('')}--:|--:|--:|`,
--- a/packages/load/src/lib/reports.test.ts
+++ b/packages/load/src/lib/reports.test.ts
@@ -99,6 +99,15 @@
 	});
 });
 
+describe('validity', () => {
+	it.each([
+		{delay: 10, busy: 0.5, valid: true}, {delay: 300, busy: 0.5, valid: false}, {delay: 10, busy: 1, valid: false},
+	])('of a run with arrivals $delay ms late and $busy of the machine busy is $valid', ({delay, busy, valid}) => {
+		const result = {...resultOf('overload-10x', {}), usage: {machinePeak: busy, processPeaks: {}, largestArrivalDelayMilliseconds: delay}};
+		expect(writeReport([result], 'x').markdown.includes('not valid')).toBe(!valid);
+	});
+});
+
 describe('latency verdict', () => {
 	const path = (name: PathName, p99: number): PathLatency => ({
 		path: name, calls: 1, failed: 0, median: p99 / 2, p90: p99, p99, cpuMicroseconds: p99,
--- a/packages/load/src/lib/summary.ts
+++ b/packages/load/src/lib/summary.ts
@@ -15,6 +15,18 @@
 	return values.reduce((all, value) => all + value, 0);
 }
 
+/** An arrival sent later than this, or a machine busier than this, means that the run measured the machine. */
+const validity = {arrivalDelayMilliseconds: 250, machineBusy: 0.95} as const;
+
+/** Says why the figures of a run are not those of the product; undefined when they are. @public */
+export function invalidity({usage}: Pick<ExperimentResult, 'usage'>): string | undefined {
+	const faults = [
+		...(usage.largestArrivalDelayMilliseconds > validity.arrivalDelayMilliseconds ? [`arrivals were up to ${usage.largestArrivalDelayMilliseconds.toFixed(0)} ms late`] : []),
+		...(usage.machinePeak > validity.machineBusy ? [`all cores were up to ${percent(usage.machinePeak, 0)} busy`] : []),
+	];
+	return faults.length === 0 ? undefined : `not valid, this run measured the machine: ${faults.join(', ')}`;
+}
+
 /** @public */
 export function recoveryText({seconds, observedSeconds}: RecoveryMeasure): string {
 	return seconds === null ? `not within ${observedSeconds} s` : `${seconds} s`;
@@ -23,6 +35,7 @@
 /** @public */
 export function summarize(result: ExperimentResult): string {
 	const {usage, series, totals} = result;
+	const invalid = invalidity(result);
 	const {goodput, topWorth, work, attempts, recovery, leaving} = result.measures;
 	const kinds = Object.entries(series).map(([kind, counts]) => {
 		const {latency, requests, reasons} = totals[kind]!;
@@ -41,5 +54,6 @@
 		...leaving.map(({instance, lastNewWorkMilliseconds, newWork}) => `  ${instance} left: ${newWork} new requests, the last after ${lastNewWorkMilliseconds} ms`),
 		`  busiest process: ${busiest?.[0] ?? 'none'} ${percent(busiest?.[1] ?? 0, 0)} of a core; machine peak ${percent(usage.machinePeak, 0)}`,
 		`  arrivals at most ${usage.largestArrivalDelayMilliseconds.toFixed(0)} ms late`,
+		...(invalid === undefined ? [] : [`  ${invalid}`]),
 	].join('\n');
 }
