load: Keep an operation's identity when its answer is lost

Cause: a caller whose request timed out after the 428 exchange forgot the identity and fetched a new one for its next attempt, so the operation could run again. Change: callers keep the identity of the exchange; runs declared as did-not-run are not counted as doubled.

--- a/packages/load/src/lib/caller.ts
+++ b/packages/load/src/lib/caller.ts
@@ -78,7 +78,12 @@
 	private async attempt(traffic: Traffic, root: string, identity: string | undefined): Promise<Answer> {
 		const answer = await this.send(traffic, root, identity);
 		// The identity exchange is part of one attempt.
-		return answer.reason === identityNeeded && answer.identity !== undefined ? this.send(traffic, root, answer.identity) : answer;
+		if (answer.reason !== identityNeeded || answer.identity === undefined) {
+			return answer;
+		}
+
+		// Also without an answer the operation keeps its identity; a new one would let it run again.
+		return {identity: answer.identity, ...definedOnly(await this.send(traffic, root, answer.identity))};
 	}
 
 	private async send(traffic: Traffic, root: string, identity: string | undefined): Promise<Answer> {
@@ -122,6 +127,11 @@
 	}
 }
 
+/** Leaves out an identity that is not there, so that it does not replace the one held. */
+function definedOnly({identity, ...answer}: Answer): Answer {
+	return identity === undefined ? answer : {identity, ...answer};
+}
+
 function readAnswer(response: IncomingMessage, body: string, root: string): Answer {
 	const verdict = response.headers['hemlockthread-verdict'] as string | undefined;
 	const reason = response.headers['hemlockthread-reason'] as string | undefined;
--- a/packages/load/src/lib/load-target.ts
+++ b/packages/load/src/lib/load-target.ts
@@ -30,6 +30,8 @@
 	/** Time of its own work, waits for downstream calls not included. */
 	workMilliseconds: number;
 	whole: boolean;
+	/** True where the target declared that the request did not run, so that it may be repeated. */
+	declaredNotRun: boolean;
 };
 
 const contextHeader = 'hemlockthread-context';
@@ -93,12 +95,13 @@
 		}
 
 		const run: LoadTargetRun = {
-			root: body, kind, startedAt: Date.now(), workMilliseconds: 0, whole: false,
+			root: body, kind, startedAt: Date.now(), workMilliseconds: 0, whole: false, declaredNotRun: false,
 		};
 		this.runs.push(run);
 		const status = await this.work(run, request.headers[contextHeader] as string | undefined, gone.signal);
 		this.freeSlot();
 		run.whole = status === 200;
+		run.declaredNotRun = status === refusedStatus;
 		response.writeHead(status, {
 			'content-type': 'text/plain', 'content-length': Buffer.byteLength(body),
 			...(status === refusedStatus ? {[verdictHeader]: 'did-not-run'} : {}),
--- a/packages/load/src/lib/measures.ts
+++ b/packages/load/src/lib/measures.ts
@@ -155,6 +155,10 @@
 	const doubled = new Set<string>();
 	for (const run of [...runs.values()].flat()) {
 		runsByRoot.set(run.root, (runsByRoot.get(run.root) ?? 0) + 1);
+		if (run.declaredNotRun) {
+			continue;
+		}
+
 		const leg = `${run.root} ${run.kind}`;
 		const count = (runsByLeg.get(leg) ?? 0) + 1;
 		runsByLeg.set(leg, count);
--- a/packages/load/src/lib/run-experiment.ts
+++ b/packages/load/src/lib/run-experiment.ts
@@ -1,6 +1,7 @@
 /**
  * Runs one experiment from start to end.
  */
+import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
@@ -91,6 +92,8 @@
 
 	constructor(private readonly experiment: Experiment, private readonly options: RunOptions, private readonly fleet: LoadFleet) {
 		this.recorder = new Recorder(experiment.traffic.map(traffic => traffic.kind), experiment.warmUpSeconds * 1000, (experiment.seconds + experiment.settleSeconds) * 1000);
+		// Every waiting caller listens for the end of the run.
+		setMaxListeners(0, this.ending.signal);
 		// Arrivals and choices of entry nodes draw from separate streams, so that arrivals do not depend on answers.
 		const random = randomNumbers(options.seed + 1);
 		const instances = [...fleet.instances.values()];
