--- a/packages/node/src/lib/call-explainer.test.ts
+++ b/packages/node/src/lib/call-explainer.test.ts
@@ -23,7 +23,7 @@
 	listen: {
 		peers: address, callers: address, target: address, operators: address,
 	},
-	targetUrl: '', targetSlots: 1, platformUrl: '', bootstrapPeers: [], identityKeys: [], logLevel: 'error', shutdownGraceMilliseconds: 0, controls: 'on',
+	targetUrl: '', targetSlots: 1, platformUrl: '', bootstrapPeers: [], startSpreadMilliseconds: 0, identityKeys: [], logLevel: 'error', shutdownGraceMilliseconds: 0, controls: 'on',
 };
 const instance = (name: string, service: string): FleetInstance => ({
 	name, service, failureDomain: 'a', region: 'r', peerAddress: '127.0.0.1:1', callerAddress: '127.0.0.1:2', operatorAddress: '127.0.0.1:3', slots: 1, state: 'live',
