--- a/packages/operator/src/lib/docs.test.ts
+++ b/packages/operator/src/lib/docs.test.ts
@@ -50,8 +50,8 @@
 		expect(blocks.length).toBeGreaterThan(0);
 		expect(blocks.join('')).not.toMatch(outsideAddresses);
 		const driver = new FleetDriver();
-		await driver.start(cellarNetPlan());
 		try {
+			await driver.start(cellarNetPlan());
 			const {callerUrl, operatorUrl, targetListenerUrl, process: node} = driver.instance('racks-1');
 			const shell = spawn('bash', ['-c', prelude + blocks.join('\n')], {
 				cwd: root,
