Leave routing state unchanged when candidates are listed

Change: view ranks the candidates without keeping statistics or the subset. Conclusion: GET /explain only reads again.

--- a/packages/routing/src/lib/target-selector.ts
+++ b/packages/routing/src/lib/target-selector.ts
@@ -141,7 +141,9 @@
 	/** Lists the candidates of a service without choosing one. */
 	view(service: string, rootKind: string): CandidateView[] {
 		const now = this.now();
-		return this.subsetOf(service, now).members.map(({instance, statistics}) => ({
+		// Only reads: an explanation must not leave statistics of instances that were never called.
+		const members = this.rank(this.fleet.candidates(service), name => this.statistics.get(name) ?? new CandidateStatistics());
+		return members.map(({instance, statistics}) => ({
 			instance: instance.name, failureDomain: instance.failureDomain, level: statistics.levelOf(rootKind, now), inProgress: statistics.inProgress,
 		}));
 	}
@@ -167,7 +169,7 @@
 		}
 
 		this.prune(now);
-		const members = this.rank(this.fleet.candidates(service));
+		const members = this.rank(this.fleet.candidates(service), name => this.statisticsOf(name));
 		const subset = {members, readAt: now};
 		if (members.length === 0) {
 			this.subsets.delete(service);
@@ -178,13 +180,13 @@
 		return subset;
 	}
 
-	private rank(all: readonly FleetInstance[]): Member[] {
+	private rank(all: readonly FleetInstance[], statisticsOf: (name: string) => CandidateStatistics): Member[] {
 		const isInside = (instance: FleetInstance) => instance.failureDomain === this.self.failureDomain;
 		const ranked = (instances: FleetInstance[], count: number) => highestRanked(this.self.instance, instances, instance => instance.name, count);
 		return [
 			...ranked(all.filter(instance => isInside(instance)), routingOptions.subsetInside),
 			...ranked(all.filter(instance => !isInside(instance)), routingOptions.subsetOutside),
-		].map(instance => ({instance, isInside: isInside(instance), statistics: this.statisticsOf(instance.name)}));
+		].map(instance => ({instance, isInside: isInside(instance), statistics: statisticsOf(instance.name)}));
 	}
 
 	/** Returns the own domain's choice unless it is loaded and another domain's choice is clearly better. */
