Lower the admission level only for idle slots, and probe levels by time

Two sources: one call in 50 passed a known level as a probe, and the level fell in doubling steps while all slots were busy, faster than its effect can pass the chain, so it oscillated. Change: the level falls only while a slot is idle and nothing waits, and at most once per mean service time. Signals of each call are linked by plain listeners instead of AbortSignal.any, and ended waits reject no longer.

--- a/packages/admission/src/lib/admission-controller.ts
+++ b/packages/admission/src/lib/admission-controller.ts
@@ -302,7 +302,10 @@
 		const {average} = this.services.overall;
 		const bearableMilliseconds = Math.max(levelOptions.queueingMilliseconds, average);
 		const bearable = average === 0 ? this.maximumQueued : Math.floor(bearableMilliseconds * this.limit / average);
-		return {queued: this.queue.length, bearable, firstUnbearable: this.queue.at(bearable)?.priority};
+		return {
+			queued: this.queue.length, bearable, firstUnbearable: this.queue.at(bearable)?.priority,
+			idle: this.queue.length === 0 && this.inProgress < this.limit, paceMilliseconds: average,
+		};
 	}
 
 	/** Time until the target has taken up a number of waiting calls. */
--- a/packages/admission/src/lib/admission-level.ts
+++ b/packages/admission/src/lib/admission-level.ts
@@ -9,10 +9,8 @@
 	windowMilliseconds: 50,
 	/** Queueing time above which the level rises, unless the mean service time is longer. */
 	queueingMilliseconds: 20,
-	/** First step down in priorities once the queue is short; doubles with each further short window. */
+	/** First step down in priorities once slots are idle; doubles with each further step. */
 	firstStep: 4,
-	/** Share of the bearable queue below which the level falls. */
-	shortQueue: 0.5,
 } as const;
 
 const maximumCaughtUpWindows = 20;
@@ -24,6 +22,10 @@
 	bearable: number;
 	/** Priority of the first call that waits longer than that, where there is one. */
 	firstUnbearable: number | undefined;
+	/** True where nothing waits and a slot is free. */
+	idle: boolean;
+	/** Shortest time between two steps down: the effect of a step is not seen before a call has passed the chain. */
+	paceMilliseconds: number;
 };
 
 /**
@@ -34,6 +36,8 @@
 export class AdmissionLevel {
 	private level = 0;
 	private step: number = levelOptions.firstStep;
+	/** Windows since the last step down. */
+	private windowsHeld = 0;
 	private windowEndsAt: number;
 
 	constructor(now: number) {
@@ -62,11 +66,18 @@
 		if (observation.firstUnbearable !== undefined) {
 			this.level = Math.max(this.level, observation.firstUnbearable);
 			this.step = levelOptions.firstStep;
-		} else if (observation.queued <= observation.bearable * levelOptions.shortQueue) {
+			this.windowsHeld = 0;
+			return;
+		}
+
+		this.windowsHeld += 1;
+		if (!observation.idle) {
+			// Busy slots and a short queue are what the level is for.
+			this.step = levelOptions.firstStep;
+		} else if (this.windowsHeld * levelOptions.windowMilliseconds >= observation.paceMilliseconds) {
 			this.level = Math.max(0, this.level - this.step);
 			this.step *= 2;
-		} else {
-			this.step = levelOptions.firstStep;
+			this.windowsHeld = 0;
 		}
 	}
 }
--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -46,6 +46,8 @@
 
 /** Made once: the default reason of `abort()` is a new error with a stack trace for each call. */
 const callAnswered = new Error('the call was answered');
+const callCancelled = new Error('the call was cancelled');
+const callExpired = new Error('the deadline of the call has passed');
 
 type Attempt = {candidate: Candidate; call: Call};
 
@@ -217,27 +219,38 @@
 			return unsent(RefusalReason.deadlineExceeded);
 		}
 
+		if (call.signal.aborted) {
+			return unsent(RefusalReason.cancelled);
+		}
+
 		const share = call.allowance.split();
-		const deadline = new AbortController();
+		const waiting = new AbortController();
 		const answered = new AbortController();
-		void this.abortAfter(remainingMilliseconds + forwarderOptions.answerGraceMilliseconds, deadline, answered.signal);
+		const cancel = () => {
+			waiting.abort(callCancelled);
+		};
+
+		// Plain listeners instead of AbortSignal.any, which costs about as much as the rest of this function.
+		call.signal.addEventListener('abort', cancel, {once: true});
+		void this.abortAfter(remainingMilliseconds + forwarderOptions.answerGraceMilliseconds, waiting, answered.signal);
 		try {
 			const answer = await peer.call({
 				service: call.service, kind: call.kind, rootKind: call.rootKind, rootIdentifier: call.rootIdentifier,
 				priority: call.priority, remainingMilliseconds, retryShare: share, repeated: call.repeated, depth: call.depth,
 				identity: call.identity?.token, method: call.message.method, path: call.message.path,
 				headers: call.message.headers, body: call.message.body,
-			}, AbortSignal.any([call.signal, deadline.signal]));
+			}, waiting.signal);
 			call.allowance.giveBack(share, answer.retriesReturned);
 			return toResult(answer);
 		} catch (error) {
-			const failure = toFailure(error, deadline.signal);
+			const failure = toFailure(error, waiting.signal.reason === callExpired);
 			if (failure.unsent === true) {
 				call.allowance.giveBack(share, share);
 			}
 
 			return failure;
 		} finally {
+			call.signal.removeEventListener('abort', cancel);
 			answered.abort(callAnswered);
 		}
 	}
@@ -245,7 +258,7 @@
 	private async abortAfter(milliseconds: number, controller: AbortController, cancelled: AbortSignal): Promise<void> {
 		await this.timing.wait(milliseconds, cancelled);
 		if (!cancelled.aborted) {
-			controller.abort();
+			controller.abort(callExpired);
 		}
 	}
 
@@ -328,11 +341,11 @@
 	};
 }
 
-function toFailure(error: unknown, deadline: AbortSignal): CallResult {
+function toFailure(error: unknown, expired: boolean): CallResult {
 	if (!(error instanceof CallError)) {
 		return refusal(Verdict.mayHaveRun, RefusalReason.connectionLost);
 	}
 
-	const reason = deadline.aborted ? RefusalReason.deadlineExceeded : error.reason;
+	const reason = expired ? RefusalReason.deadlineExceeded : error.reason;
 	return error.verdict === Verdict.didNotRun ? unsent(reason) : refusal(error.verdict, reason);
 }
--- a/packages/node/src/lib/call-registry.ts
+++ b/packages/node/src/lib/call-registry.ts
@@ -44,11 +44,18 @@
 	readonly legs = new Map<string, Leg>();
 	/** Most restrictive level heard from below. */
 	subtreeLevel = 0;
-	readonly signal: AbortSignal;
 	private readonly controller = new AbortController();
 
 	constructor(readonly call: Call, readonly allowance: RetryAllowance) {
-		this.signal = AbortSignal.any([call.signal, this.controller.signal]);
+		call.signal.addEventListener('abort', this.endWithCall, {once: true});
+		if (call.signal.aborted) {
+			this.endWithCall();
+		}
+	}
+
+	/** Aborted when the call is cancelled or has ended. */
+	get signal(): AbortSignal {
+		return this.controller.signal;
 	}
 
 	/** Returns the leg with the key, or a new one; undefined at the limit. */
@@ -75,8 +82,13 @@
 
 	/** Cancels what still runs below this call. */
 	end(): void {
+		this.call.signal.removeEventListener('abort', this.endWithCall);
 		this.controller.abort(callEnded);
 	}
+
+	private readonly endWithCall = (): void => {
+		this.controller.abort(callEnded);
+	};
 }
 
 /**
--- a/packages/node/src/lib/collaborators.ts
+++ b/packages/node/src/lib/collaborators.ts
@@ -3,7 +3,6 @@
  * can be searched without sockets and without waiting.
  */
 import {performance} from 'node:perf_hooks';
-import {setTimeout as sleep} from 'node:timers/promises';
 import type {AdmissionController} from '@hemlockthread/admission';
 import type {FleetView} from '@hemlockthread/membership';
 import type {TargetSelector} from '@hemlockthread/routing';
@@ -53,12 +52,22 @@
 /** @public */
 export const processTiming: NodeTiming = {
 	now: () => performance.now(),
-	async wait(milliseconds, signal) {
-		try {
-			await sleep(Math.max(0, milliseconds), undefined, {signal});
-		} catch {
-			// Aborted, which ends the wait.
+	// An aborted wait of node:timers/promises rejects with an error that holds a stack trace, which costs more than the rest
+	// of the wait on the path of every call.
+	wait: async (milliseconds, signal) => new Promise(resolve => {
+		if (signal.aborted) {
+			resolve();
+			return;
 		}
-	},
+
+		const finish = () => {
+			clearTimeout(timer);
+			signal.removeEventListener('abort', finish);
+			resolve();
+		};
+
+		const timer = setTimeout(finish, Math.max(0, milliseconds));
+		signal.addEventListener('abort', finish, {once: true});
+	}),
 	random: Math.random,
 };
--- a/packages/routing/src/lib/target-selector.ts
+++ b/packages/routing/src/lib/target-selector.ts
@@ -16,8 +16,6 @@
 	subsetInside: 4,
 	/** Instances of a called service outside the own failure domain that this node uses. */
 	subsetOutside: 2,
-	/** One call in this many passes below a known level, to notice when the level falls. */
-	probeInterval: 50,
 	/** Latency and score above those of the alternative by this factor count as load that spills over to other domains. */
 	spillOverFactor: 2,
 	/** Largest share of a service's candidates that is ejected at once. */
@@ -112,7 +110,7 @@
 		const usable = healthy.length > 0 ? healthy : candidates;
 		const admitting = usable.filter(member => this.levelAt(member, request.rootKind, now) <= request.priority);
 		if (admitting.length === 0) {
-			return this.probe(usable, request.rootKind);
+			return this.probe(usable, request.rootKind, now);
 		}
 
 		const trial = request.allowTrial === false ? undefined : candidates.find(member => member.statistics.health.state(now) === 'trial-due');
@@ -233,15 +231,15 @@
 		return score(first, second.statistics.latency ?? assumed) <= score(second, assumed) ? first : second;
 	}
 
-	private probe(members: readonly Member[], rootKind: string): Candidate | 'overloaded' {
-		if (this.random() * routingOptions.probeInterval >= 1) {
+	private probe(members: readonly Member[], rootKind: string, now: number): Candidate | 'overloaded' {
+		const probed = members.find(member => member.statistics.claimProbe(rootKind, now));
+		if (probed === undefined) {
 			this.count('routing.refused-by-level');
 			return 'overloaded';
 		}
 
 		this.count('routing.probe');
-		const {instance, statistics} = this.lessLoaded(members);
-		return this.start(instance, statistics, rootKind);
+		return this.start(probed.instance, probed.statistics, rootKind);
 	}
 
 	private levelAt(member: Member, rootKind: string, now: number): number {
