Let the queue take up random arrivals, and drop the level fast once most slots are idle

Change: the level rises above two mean service times of queueing instead of one; it falls by 4 priorities per two service times while some slots are idle, and in doubling steps per window while at least half are. Tests and stand-ins share ports, slots and body reading; each test process has loopback addresses of its own, so that tests can't take each other's ports.

--- a/packages/admission/src/lib/admission-controller.ts
+++ b/packages/admission/src/lib/admission-controller.ts
@@ -300,11 +300,11 @@
 
 	private observeQueue(): QueueObservation {
 		const {average} = this.services.overall;
-		const bearableMilliseconds = Math.max(levelOptions.queueingMilliseconds, average);
+		const bearableMilliseconds = Math.max(levelOptions.queueingMilliseconds, average * levelOptions.queueingServiceTimes);
 		const bearable = average === 0 ? this.maximumQueued : Math.floor(bearableMilliseconds * this.limit / average);
 		return {
 			queued: this.queue.length, bearable, firstUnbearable: this.queue.at(bearable)?.priority,
-			idle: this.queue.length === 0 && this.inProgress < this.limit, paceMilliseconds: average,
+			idleShare: this.queue.length === 0 ? Math.max(0, 1 - (this.inProgress / this.limit)) : 0, paceMilliseconds: average * levelOptions.paceServiceTimes,
 		};
 	}
 
--- a/packages/admission/src/lib/admission-level.ts
+++ b/packages/admission/src/lib/admission-level.ts
@@ -7,10 +7,19 @@
 export const levelOptions = {
 	/** Interval at which the level is adapted. */
 	windowMilliseconds: 50,
-	/** Queueing time above which the level rises, unless the mean service time is longer. */
+	/** Least queueing time above which the level rises. */
 	queueingMilliseconds: 20,
-	/** First step down in priorities once slots are idle; doubles with each further step. */
+	/**
+	 * Queueing time above which the level rises, in mean service times. A refusal wastes what the chain above has done for
+	 * the call, so the queue takes up the randomness of arrivals that few slots can't.
+	 */
+	queueingServiceTimes: 2,
+	/** Shortest time between two steps down, in mean service times: a step shows its effect after the chain was passed. */
+	paceServiceTimes: 2,
+	/** Step down in priorities while some slots are idle; doubles with each further step while most are. */
 	firstStep: 4,
+	/** Share of idle slots from which the overload counts as over. */
+	mostlyIdleShare: 0.5,
 } as const;
 
 const maximumCaughtUpWindows = 20;
@@ -22,8 +31,8 @@
 	bearable: number;
 	/** Priority of the first call that waits longer than that, where there is one. */
 	firstUnbearable: number | undefined;
-	/** True where nothing waits and a slot is free. */
-	idle: boolean;
+	/** Share of the slots that are free while nothing waits. */
+	idleShare: number;
 	/** Shortest time between two steps down: the effect of a step is not seen before a call has passed the chain. */
 	paceMilliseconds: number;
 };
@@ -62,6 +71,11 @@
 		}
 	}
 
+	private lower(step: number): void {
+		this.level = Math.max(0, this.level - step);
+		this.windowsHeld = 0;
+	}
+
 	private adapt(observation: QueueObservation): void {
 		if (observation.firstUnbearable !== undefined) {
 			this.level = Math.max(this.level, observation.firstUnbearable);
@@ -71,13 +85,16 @@
 		}
 
 		this.windowsHeld += 1;
-		if (!observation.idle) {
-			// Busy slots and a short queue are what the level is for.
-			this.step = levelOptions.firstStep;
-		} else if (this.windowsHeld * levelOptions.windowMilliseconds >= observation.paceMilliseconds) {
-			this.level = Math.max(0, this.level - this.step);
+		if (observation.idleShare >= levelOptions.mostlyIdleShare) {
+			this.lower(this.step);
 			this.step *= 2;
-			this.windowsHeld = 0;
+			return;
+		}
+
+		this.step = levelOptions.firstStep;
+		// Busy slots and a short queue are what the level is for.
+		if (observation.idleShare > 0 && this.windowsHeld * levelOptions.windowMilliseconds >= observation.paceMilliseconds) {
+			this.lower(this.step);
 		}
 	}
 }
--- a/packages/load/src/lib/latency-bench.ts
+++ b/packages/load/src/lib/latency-bench.ts
@@ -8,8 +8,9 @@
 import {performance} from 'node:perf_hooks';
 import {setImmediate as yieldToEvents, setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
+import {freePorts} from '@hemlockthread/stand-ins';
 import {build, type Histogram} from 'hdr-histogram-js';
-import {LoadFleet, freePorts} from './load-fleet.js';
+import {LoadFleet} from './load-fleet.js';
 import {machineDescription, processUsage} from './process-usage.js';
 
 const relayBinary = fileURLToPath(new URL('../bin/bare-relay.js', import.meta.url));
--- a/packages/load/src/lib/load-fleet.ts
+++ b/packages/load/src/lib/load-fleet.ts
@@ -13,7 +13,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {PlatformStandIn} from '@hemlockthread/stand-ins';
+import {PlatformStandIn, freePorts} from '@hemlockthread/stand-ins';
 import wreck from '@hapi/wreck';
 import type {ServicePlan} from './experiment-file.js';
 import {TargetProcess} from './target-process.js';
@@ -220,15 +220,3 @@
 
 	throw new Error(`node of ${instance.name} is not ready after ${readyTimeoutMilliseconds} ms`);
 }
-
-/** Finds free TCP ports on an address; all are held until the last is found, so that none is given twice. @public */
-export async function freePorts(host: string, count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer().listen(0, host));
-	await Promise.all(servers.map(async server => once(server, 'listening')));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => {
-		server.close();
-		await once(server, 'close');
-	}));
-	return ports;
-}
--- a/packages/load/src/lib/load-target.ts
+++ b/packages/load/src/lib/load-target.ts
@@ -8,6 +8,7 @@
 	Agent, createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {performance} from 'node:perf_hooks';
+import {SlotQueue, readBody} from '@hemlockthread/stand-ins';
 import type {ServicePlan} from './experiment-file.js';
 
 /** @public */
@@ -46,12 +47,12 @@
 	/** Factor on all work times. */
 	slowness = 1;
 	readonly runs: LoadTargetRun[] = [];
-	private working = 0;
-	private readonly waiting: Array<() => void> = [];
+	private readonly slots: SlotQueue;
 	private readonly agent = new Agent({keepAlive: true, noDelay: true});
 	private readonly server: Server;
 
 	constructor(readonly plan: LoadTargetPlan) {
+		this.slots = new SlotQueue(plan.slots);
 		this.server = createServer({noDelay: true}, (request, response) => {
 			void this.handle(request, response);
 		});
@@ -88,9 +89,9 @@
 		response.once('close', () => {
 			gone.abort();
 		});
-		await this.takeSlot();
+		await this.slots.take();
 		if (gone.signal.aborted) {
-			this.freeSlot();
+			this.slots.free();
 			return;
 		}
 
@@ -99,7 +100,7 @@
 		};
 		this.runs.push(run);
 		const status = await this.work(run, request.headers[contextHeader] as string | undefined, gone.signal);
-		this.freeSlot();
+		this.slots.free();
 		run.whole = status === 200;
 		run.declaredNotRun = status === refusedStatus;
 		response.writeHead(status, {
@@ -144,26 +145,6 @@
 			call.end(body);
 		});
 	}
-
-	private async takeSlot(): Promise<void> {
-		if (this.working < this.plan.slots) {
-			this.working += 1;
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			this.waiting.push(resolve);
-		});
-	}
-
-	private freeSlot(): void {
-		const next = this.waiting.shift();
-		if (next === undefined) {
-			this.working -= 1;
-		} else {
-			next();
-		}
-	}
 }
 
 /** Works for a time, or until the signal aborts; returns the time worked. */
@@ -182,16 +163,3 @@
 	});
 	return performance.now() - startedAt;
 }
-
-async function readBody(message: IncomingMessage): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	try {
-		for await (const chunk of message) {
-			chunks.push(chunk as Uint8Array);
-		}
-	} catch {
-		// The sender went away; what was read is not used.
-	}
-
-	return Buffer.concat(chunks).toString();
-}
--- a/packages/stand-ins/src/lib/target.ts
+++ b/packages/stand-ins/src/lib/target.ts
@@ -8,6 +8,8 @@
 	Agent, createServer, request as httpRequest, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import {readBody} from './read-body.js';
+import {SlotQueue} from './slot-queue.js';
 
 /** A downstream call of a kind. @public */
 export type TargetLegPlan = {service: string; kind: string};
@@ -76,12 +78,12 @@
 		},
 	};
 
-	private working = 0;
-	private readonly waiting: Array<() => void> = [];
+	private readonly slots: SlotQueue;
 	private readonly agent = new Agent({keepAlive: true, noDelay: true});
 	private readonly server: Server;
 
 	constructor(readonly plan: TargetPlan) {
+		this.slots = new SlotQueue(plan.slots);
 		this.server = createServer((request, response) => {
 			void this.handle(request, response);
 		});
@@ -109,7 +111,7 @@
 			return;
 		}
 
-		await this.takeSlot();
+		await this.slots.take();
 		const operation = request.headers['hemlockthread-operation'] as string | undefined;
 		const run: TargetRun = {
 			kind, operation, body, finished: false,
@@ -145,7 +147,7 @@
 			response.writeHead(failed ? 502 : 200, {'content-type': 'application/json'})
 				.end(answer);
 		} finally {
-			this.freeSlot();
+			this.slots.free();
 		}
 	}
 
@@ -177,37 +179,4 @@
 			call.end(body);
 		});
 	}
-
-	private async takeSlot(): Promise<void> {
-		if (this.working < this.plan.slots) {
-			this.working += 1;
-			return;
-		}
-
-		await new Promise<void>(resolve => {
-			this.waiting.push(resolve);
-		});
-	}
-
-	private freeSlot(): void {
-		const next = this.waiting.shift();
-		if (next === undefined) {
-			this.working -= 1;
-		} else {
-			next();
-		}
-	}
-}
-
-async function readBody(message: IncomingMessage): Promise<string> {
-	const chunks: Uint8Array[] = [];
-	try {
-		for await (const chunk of message) {
-			chunks.push(chunk as Uint8Array);
-		}
-	} catch {
-		// The sender went away; what was read is not used.
-	}
-
-	return Buffer.concat(chunks).toString();
 }
--- a/packages/test-driver/src/lib/fleet-driver.ts
+++ b/packages/test-driver/src/lib/fleet-driver.ts
@@ -13,7 +13,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
 import {
-	PlatformStandIn, TargetStandIn, TcpRelayStandIn, type TargetKindPlan,
+	PlatformStandIn, TargetStandIn, TcpRelayStandIn, freePorts, ownLoopbackHost, type TargetKindPlan,
 } from '@hemlockthread/stand-ins';
 import wreck from '@hapi/wreck';
 
@@ -80,12 +80,13 @@
 	private readonly directory = mkdtempSync(path.join(tmpdir(), 'hemlockthread-'));
 
 	async start(plan: FleetPlan): Promise<void> {
-		const [platformPort] = await freePorts('127.0.0.1', 1);
-		this.platformUrl = `http://127.0.0.1:${platformPort}`;
-		await this.platform.listen('127.0.0.1', platformPort!);
+		const platformHost = ownLoopbackHost(0);
+		const [platformPort] = await freePorts(platformHost, 1);
+		this.platformUrl = `http://${platformHost}:${platformPort}`;
+		await this.platform.listen(platformHost, platformPort!);
 		this.platform.publish('policy', JSON.stringify(plan.policy));
 		for (const [index, instance] of plan.instances.entries()) {
-			await this.prepare(instance, `127.0.0.${index + 2}`);
+			await this.prepare(instance, ownLoopbackHost(index + 1));
 		}
 
 		this.publishFleet();
@@ -235,15 +236,3 @@
 	const [peers, callers, target] = await Promise.all([relays.peers, relays.callers, relays.target].map(async relay => relay.listen(host)));
 	return {relays, ports: {peers: peers!.port, callers: callers!.port, target: target!.port}};
 }
-
-/** Finds free TCP ports on an address; all are held until the last is found, so that none is given twice. */
-async function freePorts(host: string, count: number): Promise<number[]> {
-	const servers = Array.from({length: count}, () => createServer().listen(0, host));
-	await Promise.all(servers.map(async server => once(server, 'listening')));
-	const ports = servers.map(server => (server.address() as {port: number}).port);
-	await Promise.all(servers.map(async server => {
-		server.close();
-		await once(server, 'close');
-	}));
-	return ports;
-}
