--- a/packages/admission/src/lib/admission-controller.ts
+++ b/packages/admission/src/lib/admission-controller.ts
@@ -3,6 +3,7 @@
  */
 import {randomInt} from 'node:crypto';
 import type {Metrics} from '@hemlockthread/telemetry';
+import {prioritiesPerRank} from '@hemlockthread/policy';
 import {RefusalReason, type RefusalReasonName} from '@hemlockthread/verdict';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
@@ -114,8 +115,10 @@
 
 		this.admissionLevel.update(this.clock.now(), () => this.observeQueue());
 		const level = this.admissionLevel.current;
-		// A waiting call below the level would be served before a higher one that the level refuses now.
-		for (let last = this.queue.last(); last !== undefined && last.priority < level; last = this.queue.last()) {
+		// A waiting call of a lower worth rank would be served before a higher one that the level refuses now. One of the same
+		// rank stays: the chain above has done its work for it already.
+		const lowestKept = level - (level % prioritiesPerRank);
+		for (let last = this.queue.last(); last !== undefined && last.priority < lowestKept; last = this.queue.last()) {
 			this.options.metrics?.count('admission.evicted');
 			last.refuse(RefusalReason.overloaded);
 		}
--- a/packages/admission/src/lib/measurement/load-run.ts
+++ b/packages/admission/src/lib/measurement/load-run.ts
@@ -3,6 +3,7 @@
  */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {prioritiesPerRank} from '@hemlockthread/policy';
 import {AdmissionController, admissionOptions, type AdmissionOptions} from '../admission-controller.js';
 import {FakeTarget, targetModels, type TargetModelName} from './fake-target.js';
 import {VirtualClock} from './virtual-clock.js';
@@ -20,7 +21,6 @@
 	},
 ] as const;
 
-const prioritiesPerRank = 128;
 const serviceMilliseconds = 20;
 const rampMilliseconds = 1000;
 const windowMilliseconds = 100;
