--- a/packages/node/src/lib/http-server.ts
+++ b/packages/node/src/lib/http-server.ts
@@ -18,6 +18,8 @@
 	/** How often the limits on headers are checked. */
 	checkIntervalMilliseconds: 1000,
 	maximumConnections: 4096,
+	/** Longer than callers keep idle connections, so that no request meets a connection that is just being closed. */
+	keepAliveTimeoutMilliseconds: 65_000,
 } as const;
 
 /** Creates a server that listens on an IP number. @public */
@@ -27,6 +29,7 @@
 		headersTimeout: connectionLimits.headersTimeoutMilliseconds,
 		connectionsCheckingInterval: connectionLimits.checkIntervalMilliseconds,
 	});
+	listener.keepAliveTimeout = connectionLimits.keepAliveTimeoutMilliseconds;
 	listener.maxConnections = connectionLimits.maximumConnections;
 	const httpServer = createServer({
 		listener,
