Remove what the last changes made dead

The level's observation still carried the queue's length and the bearable length, which nothing reads since the level falls by idle slots only; a type alias in packages/node had no user. Behaviour and tests are unchanged.

--- a/packages/admission/src/lib/admission-controller.ts
+++ b/packages/admission/src/lib/admission-controller.ts
@@ -306,7 +306,7 @@
 		const bearableMilliseconds = Math.max(levelOptions.queueingMilliseconds, average * levelOptions.queueingServiceTimes);
 		const bearable = average === 0 ? this.maximumQueued : Math.floor(bearableMilliseconds * this.limit / average);
 		return {
-			queued: this.queue.length, bearable, firstUnbearable: this.queue.at(bearable)?.priority,
+			firstUnbearable: this.queue.at(bearable)?.priority,
 			idleShare: this.queue.length === 0 ? Math.max(0, 1 - (this.inProgress / this.limit)) : 0, paceMilliseconds: average * levelOptions.paceServiceTimes,
 		};
 	}
--- a/packages/admission/src/lib/admission-level.ts
+++ b/packages/admission/src/lib/admission-level.ts
@@ -26,10 +26,7 @@
 
 /** What the level is derived from. @internal */
 export type QueueObservation = {
-	queued: number;
-	/** Waiting calls that start within the bearable queueing time. */
-	bearable: number;
-	/** Priority of the first call that waits longer than that, where there is one. */
+	/** Priority of the first call that waits longer than is bearable, where there is one. */
 	firstUnbearable: number | undefined;
 	/** Share of the slots that are free while nothing waits. */
 	idleShare: number;
--- a/packages/node/src/lib/call.ts
+++ b/packages/node/src/lib/call.ts
@@ -1,7 +1,6 @@
 /**
  * A call as nodes handle it, independent of the listener or connection that it arrived on.
  */
-import type {Buffer} from 'node:buffer';
 import type {OperationIdentity, RetryAllowance} from '@hemlockthread/identity';
 import type {RefusalReasonName, VerdictName} from '@hemlockthread/verdict';
 
@@ -74,5 +73,3 @@
 		verdict, reason, status: 0, headers: {}, body: emptyBody, level: 0, ...rest,
 	};
 }
-
-export type ReadBody = Buffer;
