--- /dev/null
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -0,0 +1,286 @@
+/**
+ * Holds what the node knows of the published records. Records come from the configuration service and from peers, in any
+ * order and more than once; the revision decides which one is newer. The policy in force never goes back to an earlier
+ * version while the process runs.
+ */
+import type {
+	DecodedRecord, RecordDecoder, RoutingPolicy, StoredRecord, TargetInstance,
+} from './fleet-model.js';
+
+/**
+ * Time after the configuration service returns within which entries that expired while it was away come back, with
+ * a margin for the way to this node. The service's users state two seconds.
+ */
+const lapsedEntryMilliseconds = 2500;
+/** Deletions are remembered, so that an older copy from a peer can't bring an entry back. */
+const maximumDeletions = 10_000;
+
+type Held = {record: StoredRecord; decoded: DecodedRecord | undefined; receivedAt: number};
+
+/** Where a record came from, for the log. @public */
+export type RecordSourceName = 'service' | 'peer';
+
+/** @public */
+export type RecordChange = {
+	key: string;
+	revision: number;
+	source: RecordSourceName;
+	outcome: 'accepted' | 'deleted' | 'lapsed' | 'unusable' | 'older-policy';
+	detail: string;
+};
+
+/** @public */
+export type RevisionSummary = {policyVersion: number; fleetRevision: number};
+
+/**
+ * The node's copy of the records.
+ *
+ * @public
+ */
+export class FleetRecords {
+	private readonly held = new Map<string, Held>();
+	private readonly deletions = new Map<string, number>();
+	private readonly lapsed = new Map<string, {instance: TargetInstance; revision: number; since: number}>();
+	private policyRecord: StoredRecord | undefined;
+	private policyHeld: RoutingPolicy | undefined;
+	private policyReceivedAt = 0;
+	private byService = new Map<string, TargetInstance[]>();
+	private newestFleetRevision = 0;
+	/** Since when the configuration service answers without a failure; undefined while it does not. */
+	private serviceReachableSince: number | undefined;
+	private everReached = false;
+	private readonly listeners = new Set<(change: RecordChange) => void>();
+
+	constructor(private readonly decode: RecordDecoder, private readonly now: () => number) {}
+
+	/** The policy in force; undefined until one is known. */
+	get policy(): RoutingPolicy | undefined {
+		return this.policyHeld;
+	}
+
+	/** Age of the policy in force in milliseconds. */
+	get policyAge(): number {
+		return this.now() - this.policyReceivedAt;
+	}
+
+	get revisions(): RevisionSummary {
+		return {policyVersion: this.policyHeld?.version ?? 0, fleetRevision: this.newestFleetRevision};
+	}
+
+	/** True while the configuration service answers this node. */
+	get serviceReachable(): boolean {
+		return this.serviceReachableSince !== undefined;
+	}
+
+	onChange(listener: (change: RecordChange) => void): void {
+		this.listeners.add(listener);
+	}
+
+	/** Instances of a service that may be sent work or that still answer. */
+	instancesOf(service: string): readonly TargetInstance[] {
+		return this.byService.get(service) ?? [];
+	}
+
+	instances(): TargetInstance[] {
+		return [...this.byService.values()].flat();
+	}
+
+	noteServiceReachable(): void {
+		if (this.serviceReachableSince === undefined) {
+			// The first contact of a process follows no outage that it has seen.
+			this.serviceReachableSince = this.everReached ? this.now() : Number.NEGATIVE_INFINITY;
+			this.everReached = true;
+		}
+	}
+
+	noteServiceUnreachable(): void {
+		this.serviceReachableSince = undefined;
+	}
+
+	/** Applies one record; returns true where it was newer than what was held. */
+	apply(record: StoredRecord, source: RecordSourceName): boolean {
+		const known = Math.max(this.held.get(record.key)?.record.revision ?? 0, this.deletions.get(record.key) ?? 0);
+		if (record.revision <= known) {
+			return false;
+		}
+
+		if (record.value === undefined) {
+			this.remove(record.key, record.revision, source);
+			return true;
+		}
+
+		this.accept({...record, value: record.value}, source);
+		return true;
+	}
+
+	/** Applies a whole listing of the keys with a prefix: what it lacks was deleted before the listing was made. */
+	applyListing(prefix: string, records: readonly StoredRecord[], revision: number): void {
+		const listed = new Set<string>();
+		for (const record of records) {
+			listed.add(record.key);
+			this.apply(record, 'service');
+		}
+
+		for (const [key, {record}] of this.held) {
+			if (key.startsWith(prefix) && !listed.has(key) && record.revision <= revision) {
+				this.remove(key, revision, 'service');
+			}
+		}
+	}
+
+	/** Ends the use of instances whose entries lapsed during an outage and did not come back after it. */
+	expireLapsed(): void {
+		if (this.serviceReachableSince === undefined) {
+			return;
+		}
+
+		const reachableFor = this.now() - this.serviceReachableSince;
+		if (reachableFor < lapsedEntryMilliseconds || this.lapsed.size === 0) {
+			return;
+		}
+
+		for (const [key, {revision}] of this.lapsed) {
+			this.lapsed.delete(key);
+			this.report({
+				key, revision, source: 'service', outcome: 'deleted', detail: 'did not return after the outage',
+			});
+		}
+
+		this.index();
+	}
+
+	/** All records, for a peer that lacks some. */
+	export(): StoredRecord[] {
+		const records: StoredRecord[] = [...this.held.values()].map(({record}) => record);
+		if (this.policyRecord !== undefined) {
+			records.push(this.policyRecord);
+		}
+
+		for (const [key, revision] of this.deletions) {
+			records.push({key, revision, value: undefined});
+		}
+
+		return records;
+	}
+
+	dump(): unknown {
+		return {
+			policyVersion: this.policyHeld?.version, policyAgeMilliseconds: this.policyAge, fleetRevision: this.newestFleetRevision,
+			serviceReachable: this.serviceReachable, lapsed: [...this.lapsed.keys()], instances: this.instances(),
+		};
+	}
+
+	private accept(record: StoredRecord & {value: string}, source: RecordSourceName): void {
+		const decoded = this.decode(record.key, record.value);
+		if (decoded.type === 'policy') {
+			this.acceptPolicy(record, decoded.policy, source);
+			return;
+		}
+
+		const usable = decoded.type === 'instance' ? decoded : undefined;
+		this.held.set(record.key, {record, decoded: usable, receivedAt: this.now()});
+		this.deletions.delete(record.key);
+		this.lapsed.delete(record.key);
+		this.newestFleetRevision = Math.max(this.newestFleetRevision, record.revision);
+		this.index();
+		this.report({
+			key: record.key, revision: record.revision, source,
+			outcome: usable === undefined ? 'unusable' : 'accepted',
+			detail: decoded.type === 'instance'
+				? `${decoded.instance.service} ${decoded.instance.state} at ${decoded.instance.address.host}:${decoded.instance.address.port}`
+				: decoded.reason,
+		});
+	}
+
+	private acceptPolicy(record: StoredRecord, policy: RoutingPolicy, source: RecordSourceName): void {
+		const held = this.policyHeld?.version ?? 0;
+		if (policy.version <= held) {
+			this.report({
+				key: record.key, revision: record.revision, source, outcome: 'older-policy', detail: `version ${policy.version}, held ${held}`,
+			});
+			return;
+		}
+
+		this.policyHeld = policy;
+		this.policyRecord = record;
+		this.policyReceivedAt = this.now();
+		this.index();
+		this.report({
+			key: record.key, revision: record.revision, source, outcome: 'accepted', detail: `policy version ${policy.version}`,
+		});
+	}
+
+	private remove(key: string, revision: number, source: RecordSourceName): void {
+		const held = this.held.get(key);
+		this.held.delete(key);
+		this.rememberDeletion(key, revision);
+		this.newestFleetRevision = Math.max(this.newestFleetRevision, revision);
+		const doubtful = held?.decoded?.type === 'instance' && held.decoded.instance.state === 'ready' && this.isOutageRecent();
+		if (doubtful && held.decoded?.type === 'instance') {
+			this.lapsed.set(key, {instance: held.decoded.instance, revision, since: this.now()});
+		}
+
+		this.index();
+		this.report({
+			key, revision, source, outcome: doubtful ? 'lapsed' : 'deleted', detail: '',
+		});
+	}
+
+	/** During an outage and shortly after it, entries expire although their targets live. */
+	private isOutageRecent(): boolean {
+		return this.serviceReachableSince === undefined || this.now() - this.serviceReachableSince < lapsedEntryMilliseconds;
+	}
+
+	private rememberDeletion(key: string, revision: number): void {
+		this.deletions.delete(key);
+		this.deletions.set(key, revision);
+		if (this.deletions.size > maximumDeletions) {
+			const [oldest] = this.deletions.keys();
+			this.deletions.delete(oldest!);
+		}
+	}
+
+	/** Rebuilds the lists by service. Of two entries with one address, the later start has it. */
+	private index(): void {
+		const byAddress = new Map<string, TargetInstance>();
+		const consider = (instance: TargetInstance) => {
+			if (this.policyHeld !== undefined && !this.policyHeld.services.has(instance.service)) {
+				return;
+			}
+
+			const key = `${instance.address.host}:${instance.address.port}`;
+			const other = byAddress.get(key);
+			if (other === undefined || other.startedAtUnixMilliseconds < instance.startedAtUnixMilliseconds) {
+				byAddress.set(key, instance);
+			}
+		};
+
+		for (const {instance} of this.lapsed.values()) {
+			consider(instance);
+		}
+
+		for (const {decoded} of this.held.values()) {
+			if (decoded?.type === 'instance') {
+				consider(decoded.instance);
+			}
+		}
+
+		const byService = new Map<string, TargetInstance[]>();
+		for (const instance of byAddress.values()) {
+			const list = byService.get(instance.service);
+			if (list === undefined) {
+				byService.set(instance.service, [instance]);
+			} else {
+				list.push(instance);
+			}
+		}
+
+		this.byService = byService;
+	}
+
+	private report(change: RecordChange): void {
+		for (const listener of this.listeners) {
+			listener(change);
+		}
+	}
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -0,0 +1,127 @@
+/**
+ * Messages between nodes. A WebSocket message carries a list of them in msgpack, so that what is sent within one turn of
+ * the event loop costs one write.
+ */
+import {Buffer} from 'node:buffer';
+import {ProtocolError} from '@hemlockthread/verdict';
+import {Packr} from 'msgpackr';
+import type {StoredRecord} from './fleet-model.js';
+import type {RevisionSummary} from './fleet-records.js';
+
+
+/** @public */
+export const LinkMessageType = {
+	handOver: 1,
+	cancel: 2,
+	result: 3,
+	ping: 4,
+	pong: 5,
+	wantRecords: 6,
+	records: 7,
+} as const;
+
+/** State of the queue and target at a node, as its peers see it. @public */
+export type LoadReport = {
+	active: number;
+	waiting: number;
+	limit: number;
+	meanMilliseconds: number;
+	/** Share of recent requests that the target ran without a failure of its own. */
+	successShare: number;
+	/** Calls that one run at the target causes, by called service. */
+	callsPerRun: Record<string, number>;
+};
+
+/** Times of the sender's and receiver's clocks, from which the age of a message is bounded; see `LinkClock`. @public */
+export type LinkStamp = {sentAt: number; heard: number | undefined};
+
+/** Asks the node beside an instance to run a request. @public */
+export type HandOverMessage = LinkStamp & {
+	type: typeof LinkMessageType.handOver;
+	id: number;
+	instance: string;
+	service: string;
+	callerService: string;
+	attempt: string;
+	rank: number;
+	remainingMilliseconds: number;
+	/** Time left in which a start is useful, in milliseconds. */
+	usefulMilliseconds: number;
+	method: string;
+	path: string;
+	headers: string[];
+	body: Uint8Array | undefined;
+};
+
+/** @public */
+export type CancelMessage = {type: typeof LinkMessageType.cancel; id: number};
+
+/**
+ * How a handed-over request ended.
+ *
+ * - `answered`: the target's whole answer.
+ * - `not-run`: it did not run and will not; `reachedTarget` tells whether the target itself refused it.
+ * - `may-have-run`: it was sent to the target and no whole answer came.
+ *
+ * @public
+ */
+export const RunResult = {answered: 'answered', notRun: 'not-run', mayHaveRun: 'may-have-run'} as const;
+
+/** @public */
+export type RunOutcome
+	= | {result: typeof RunResult.answered; status: number; headers: readonly string[]; body: Uint8Array}
+		| {result: typeof RunResult.notRun; reason: string; reachedTarget: boolean; roomInMilliseconds: number}
+		| {result: typeof RunResult.mayHaveRun; reason: string};
+
+/** @public */
+export type ResultMessage = {
+	type: typeof LinkMessageType.result; id: number; outcome: RunOutcome; load: LoadReport;
+};
+
+/** @public */
+export type PingMessage = LinkStamp & {
+	type: typeof LinkMessageType.ping; leaving: boolean; revisions: RevisionSummary;
+};
+
+/** @public */
+export type PongMessage = LinkStamp & {
+	type: typeof LinkMessageType.pong; leaving: boolean; revisions: RevisionSummary; load: LoadReport | undefined;
+};
+
+/** @public */
+export type WantRecordsMessage = {type: typeof LinkMessageType.wantRecords};
+
+/** @public */
+export type RecordsMessage = {type: typeof LinkMessageType.records; records: StoredRecord[]};
+
+/** @public */
+export type LinkMessage
+	= | HandOverMessage | CancelMessage | ResultMessage | PingMessage | PongMessage | WantRecordsMessage | RecordsMessage;
+
+const packr = new Packr({useRecords: false});
+const knownTypes = new Set<number>(Object.values(LinkMessageType));
+
+/** Encodes a batch of messages. */
+export function encodeMessages(messages: readonly LinkMessage[]): Uint8Array {
+	return packr.pack(messages);
+}
+
+/**
+ * Decodes a batch and leaves out types that this version does not know.
+ *
+ * @throws ProtocolError when the bytes are not a list of messages.
+ */
+export function decodeMessages(bytes: Uint8Array): LinkMessage[] {
+	let value: unknown;
+	try {
+		value = packr.unpack(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
+	} catch (error) {
+		throw new ProtocolError('message of a peer is not msgpack', {cause: error});
+	}
+
+	if (!Array.isArray(value)) {
+		throw new ProtocolError('message of a peer is not a list');
+	}
+
+	return (value as LinkMessage[]).filter(message => knownTypes.has(message?.type));
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -0,0 +1,449 @@
+/**
+ * Links to other nodes: one WebSocket per pair and direction of hand-over, with messages batched per turn of the event
+ * loop. A link that owes an answer and stays silent is closed, because a cut or a machine without power closes nothing.
+ */
+import {Buffer} from 'node:buffer';
+import {LinkClock} from '@hemlockthread/wire';
+import {WebSocket, WebSocketServer} from 'ws';
+import type {Clock} from './clock.js';
+import type {Address, StoredRecord} from './fleet-model.js';
+import type {RevisionSummary} from './fleet-records.js';
+import {
+	decodeMessages, encodeMessages, LinkMessageType, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
+} from './link-messages.js';
+
+/** @public */
+export const peerLinkOptions = {
+	/** Time between two checks of all links. */
+	checkMilliseconds: 200,
+	/** Silence on a link that owes an answer after which the peer is asked for a sign of life. */
+	pingAfterMilliseconds: 400,
+	/** Time between pings on a link without requests. */
+	idlePingMilliseconds: 1000,
+	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
+	silenceLimitMilliseconds: 1200,
+	/** Longest wait for a connection: several round trips between domains. */
+	connectTimeoutMilliseconds: 500,
+	/** Wait before a peer that could not be reached is dialled again. */
+	redialMilliseconds: 500,
+	/** Bytes that may wait in a socket before further requests are refused. */
+	maximumBufferedBytes: 8 * 1024 * 1024,
+	maximumMessageBytes: 80 * 1024 * 1024,
+	/** How long a peer may be ahead in revisions before its records are fetched: the service's own notice comes sooner as a rule. */
+	behindMilliseconds: 250,
+} as const;
+
+/** @public */
+export type HandOver = Omit<HandOverMessage, 'type' | 'id' | 'sentAt' | 'heard'>;
+
+/** What arrives for the node from its peers. @public */
+export type PeerEvents = {
+	onHandOver(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome, load: LoadReport) => void): CancelHandOver;
+	onLoad(peer: string, load: LoadReport): void;
+	onRecords(records: StoredRecord[]): void;
+	onLinkChange(peer: string, state: 'open' | 'closed', detail: string): void;
+};
+
+/** Ends a request at the node that runs it. @public */
+export type CancelHandOver = () => void;
+
+/** @public */
+export type PeerLocalState = {
+	isLeaving(): boolean;
+	revisions(): RevisionSummary;
+	load(): LoadReport | undefined;
+	records(): StoredRecord[];
+};
+
+type Pending = {settle(outcome: RunOutcome): void};
+type Handlers = {[Message in LinkMessage as Message['type']]: (message: Message) => void};
+
+const lost: RunOutcome = {result: RunResult.mayHaveRun, reason: 'link-lost'};
+
+/**
+ * All links of a node.
+ *
+ * @public
+ */
+export class PeerLinks {
+	private readonly dialled = new Map<string, PeerLink>();
+	private readonly accepted = new Set<PeerLink>();
+	private readonly failedUntil = new Map<string, number>();
+	private server: WebSocketServer | undefined;
+	private cancelCheck: (() => void) | undefined;
+
+	constructor(private readonly local: PeerLocalState, private readonly events: PeerEvents, private readonly clock: Clock) {}
+
+	async listen(address: Address): Promise<void> {
+		const server = new WebSocketServer({
+			host: address.host, port: address.port, perMessageDeflate: false, maxPayload: peerLinkOptions.maximumMessageBytes, skipUTF8Validation: true,
+		});
+		this.server = server;
+		server.on('connection', (socket, request) => {
+			const link: PeerLink = new PeerLink(`${request.socket.remoteAddress ?? 'unknown'}`, socket, this.local, this.events, this.clock, () => {
+				this.accepted.delete(link);
+			});
+			this.accepted.add(link);
+		});
+		await new Promise<void>((resolve, reject) => {
+			server.once('listening', resolve);
+			server.once('error', reject);
+		});
+		this.scheduleCheck();
+	}
+
+	/** Dials a peer where no link to it is open or being opened. */
+	ensure(address: Address): void {
+		this.linkTo(address);
+	}
+
+	/** True where the peer has answered lately, said that it stays, and its link is open. */
+	isUsable(address: Address): boolean {
+		const link = this.dialled.get(keyOf(address));
+		return link?.isOpen === true && !link.remoteLeaving;
+	}
+
+	/** True where dialling failed so lately that another try is of no use. */
+	isUnreachable(address: Address): boolean {
+		return (this.failedUntil.get(keyOf(address)) ?? 0) > this.clock.now();
+	}
+
+	/** Hands a request to a peer; settles once unless cancelled. Nothing was sent where it settles with `not-run`. */
+	handOver(address: Address, request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
+		const link = this.linkTo(address);
+		if (link === undefined) {
+			settle({
+				result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
+			});
+			return doNothing;
+		}
+
+		return link.handOver(request, settle);
+	}
+
+	/** Tells all peers at once that this node leaves. */
+	announce(): void {
+		for (const link of [...this.dialled.values(), ...this.accepted]) {
+			link.ping();
+		}
+	}
+
+	/** Asks a few peers for their records, while the configuration service does not answer. */
+	requestRecords(): void {
+		const [link] = [...this.dialled.values()].filter(candidate => candidate.isOpen);
+		link?.requestRecords();
+	}
+
+	close(): void {
+		this.cancelCheck?.();
+		for (const link of [...this.dialled.values(), ...this.accepted]) {
+			link.close('node stops');
+		}
+
+		this.server?.close();
+	}
+
+	dump(): unknown {
+		return [...this.dialled.entries()].map(([peer, link]) => ({peer, open: link.isOpen, pending: link.pendingCount}));
+	}
+
+	private linkTo(address: Address): PeerLink | undefined {
+		const key = keyOf(address);
+		const held = this.dialled.get(key);
+		if (held !== undefined) {
+			return held;
+		}
+
+		if (this.isUnreachable(address)) {
+			return undefined;
+		}
+
+		const socket = new WebSocket(`ws://${key}`, {
+			perMessageDeflate: false, handshakeTimeout: peerLinkOptions.connectTimeoutMilliseconds, skipUTF8Validation: true,
+			maxPayload: peerLinkOptions.maximumMessageBytes,
+		});
+		const link = new PeerLink(key, socket, this.local, this.events, this.clock, () => {
+			this.dialled.delete(key);
+			this.failedUntil.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
+		});
+		this.dialled.set(key, link);
+		return link;
+	}
+
+	private scheduleCheck(): void {
+		this.cancelCheck = this.clock.after(peerLinkOptions.checkMilliseconds, () => {
+			for (const link of this.dialled.values()) {
+				link.check();
+			}
+
+			for (const link of this.accepted) {
+				link.checkAccepted();
+			}
+
+			this.scheduleCheck();
+		});
+	}
+}
+
+class PeerLink {
+	remoteLeaving = false;
+	private readonly pending = new Map<number, Pending>();
+	private readonly running = new Map<number, CancelHandOver>();
+	private readonly linkClock = new LinkClock();
+	private outbox: LinkMessage[] = [];
+	private nextId = 0;
+	private open: boolean;
+	private closed = false;
+	private lastReceivedAt: number;
+	private lastSentAt = 0;
+	private pingedAt: number | undefined;
+	private behindSince: number | undefined;
+
+	private readonly handlers: Handlers = {
+		[LinkMessageType.handOver]: message => {
+			this.receiveHandOver(message);
+		},
+		[LinkMessageType.cancel]: ({id}) => {
+			this.running.get(id)?.();
+			this.running.delete(id);
+		},
+		[LinkMessageType.result]: ({id, outcome, load}) => {
+			this.events.onLoad(this.peer, load);
+			const pending = this.pending.get(id);
+			this.pending.delete(id);
+			pending?.settle(outcome);
+		},
+		[LinkMessageType.ping]: message => {
+			this.receiveState(message);
+			this.send({
+				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(),
+			});
+		},
+		[LinkMessageType.pong]: message => {
+			this.receiveState(message);
+			if (message.load !== undefined) {
+				this.events.onLoad(this.peer, message.load);
+			}
+		},
+		[LinkMessageType.wantRecords]: () => {
+			this.send({type: LinkMessageType.records, records: this.local.records()});
+		},
+		[LinkMessageType.records]: ({records}) => {
+			this.events.onRecords(records);
+		},
+	};
+
+	constructor(
+		private readonly peer: string,
+		private readonly socket: WebSocket,
+		private readonly local: PeerLocalState,
+		private readonly events: PeerEvents,
+		private readonly clock: Clock,
+		private readonly onClosed: () => void,
+	) {
+		this.open = socket.readyState === WebSocket.OPEN;
+		this.lastReceivedAt = clock.now();
+		socket.binaryType = 'nodebuffer';
+		socket.on('open', () => {
+			this.open = true;
+			this.lastReceivedAt = clock.now();
+			this.events.onLinkChange(peer, 'open', '');
+			this.ping();
+		});
+		socket.on('message', (data: Buffer) => {
+			this.receive(data);
+		});
+		socket.on('error', error => {
+			this.close(error.message);
+		});
+		socket.on('close', () => {
+			this.close('closed by the peer');
+		});
+	}
+
+	get isOpen(): boolean {
+		return this.open && !this.closed;
+	}
+
+	get pendingCount(): number {
+		return this.pending.size;
+	}
+
+	handOver(request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
+		if (this.socket.bufferedAmount > peerLinkOptions.maximumBufferedBytes) {
+			settle({
+				result: RunResult.notRun, reason: 'link-full', reachedTarget: false, roomInMilliseconds: 0,
+			});
+			return doNothing;
+		}
+
+		this.nextId += 1;
+		const id = this.nextId;
+		this.pending.set(id, {settle});
+		this.send({
+			type: LinkMessageType.handOver, id, ...request, ...this.stamp(),
+		});
+		return () => {
+			if (this.pending.delete(id)) {
+				this.send({type: LinkMessageType.cancel, id});
+			}
+		};
+	}
+
+	ping(): void {
+		this.pingedAt ??= this.clock.now();
+		this.send({
+			type: LinkMessageType.ping, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(),
+		});
+	}
+
+	requestRecords(): void {
+		this.send({type: LinkMessageType.wantRecords});
+	}
+
+	/** Pings or closes a dialled link, by what it owes and how long it has been silent. */
+	check(): void {
+		if (!this.isOpen) {
+			return;
+		}
+
+		const now = this.clock.now();
+		const silence = now - this.lastReceivedAt;
+		if (this.pingedAt !== undefined && now - this.pingedAt > peerLinkOptions.silenceLimitMilliseconds && silence > peerLinkOptions.silenceLimitMilliseconds) {
+			this.close('silent');
+			return;
+		}
+
+		const after = this.pending.size > 0 ? peerLinkOptions.pingAfterMilliseconds : peerLinkOptions.idlePingMilliseconds;
+		if (this.pingedAt === undefined && Math.min(silence, now - this.lastSentAt) >= after) {
+			this.ping();
+		} else if (this.pingedAt === undefined && silence >= peerLinkOptions.idlePingMilliseconds) {
+			this.ping();
+		}
+	}
+
+	/** Ends an accepted link whose peer no longer pings. */
+	checkAccepted(): void {
+		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.idlePingMilliseconds + peerLinkOptions.silenceLimitMilliseconds) * 2) {
+			this.close('silent');
+		}
+	}
+
+	close(reason: string): void {
+		if (this.closed) {
+			return;
+		}
+
+		this.closed = true;
+		this.onClosed();
+		this.events.onLinkChange(this.peer, 'closed', reason);
+		const wasOpen = this.open;
+		if (reason === 'node stops') {
+			this.socket.close();
+		} else {
+			this.socket.terminate();
+		}
+
+		for (const cancel of this.running.values()) {
+			cancel();
+		}
+
+		this.running.clear();
+		const pending = [...this.pending.values()];
+		this.pending.clear();
+		for (const {settle} of pending) {
+			settle(wasOpen ? lost : {
+				result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
+			});
+		}
+	}
+
+	private receive(data: Buffer): void {
+		this.lastReceivedAt = this.clock.now();
+		this.pingedAt = undefined;
+		try {
+			for (const message of decodeMessages(data)) {
+				(this.handlers[message.type] as (message: LinkMessage) => void)(message);
+			}
+		} catch (error) {
+			this.close(`protocol error: ${(error as Error).message}`);
+		}
+	}
+
+	private receiveHandOver(message: HandOverMessage): void {
+		const age = this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		const {id} = message;
+		let answered = false;
+		const cancel = this.events.onHandOver(message, Number.isFinite(age) ? age : 0, (outcome, load) => {
+			answered = true;
+			this.running.delete(id);
+			this.send({
+				type: LinkMessageType.result, id, outcome, load,
+			});
+		});
+		if (!answered) {
+			this.running.set(id, cancel);
+		}
+	}
+
+	private receiveState(message: {sentAt: number; heard: number | undefined; leaving: boolean; revisions: RevisionSummary}): void {
+		this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		this.remoteLeaving = message.leaving;
+		const mine = this.local.revisions();
+		const behind = message.revisions.policyVersion > mine.policyVersion || message.revisions.fleetRevision > mine.fleetRevision;
+		if (!behind) {
+			this.behindSince = undefined;
+			return;
+		}
+
+		this.behindSince ??= this.lastReceivedAt;
+		if (this.lastReceivedAt - this.behindSince >= peerLinkOptions.behindMilliseconds || mine.policyVersion === 0) {
+			this.behindSince = undefined;
+			this.requestRecords();
+		}
+	}
+
+	private stamp(): {sentAt: number; heard: number | undefined} {
+		return {sentAt: this.clock.now(), heard: this.linkClock.heard};
+	}
+
+	private send(message: LinkMessage): void {
+		if (this.closed) {
+			return;
+		}
+
+		this.outbox.push(message);
+		if (this.outbox.length === 1) {
+			setImmediate(() => {
+				this.flush();
+			});
+		}
+	}
+
+	private flush(): void {
+		if (this.closed || this.outbox.length === 0) {
+			return;
+		}
+
+		if (!this.open) {
+			// Sent once the connection stands.
+			this.socket.once('open', () => {
+				this.flush();
+			});
+			return;
+		}
+
+		const messages = this.outbox;
+		this.outbox = [];
+		this.lastSentAt = this.clock.now();
+		this.socket.send(encodeMessages(messages));
+	}
+}
+
+function keyOf(address: Address): string {
+	return `${address.host}:${address.port}`;
+}
+
+function doNothing(): void {
+	// Nothing was handed over.
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -0,0 +1,406 @@
+/**
+ * The way of one request through the node at which it entered: route, instance, hand-over, retries and the final answer.
+ *
+ * The final answer comes at the earlier of the caller's limit and the route's timeout. A status that promises that nothing
+ * ran is used only where every node and target that was asked has said so, or nothing was sent.
+ */
+import {Buffer} from 'node:buffer';
+import type {Clock} from './clock.js';
+import {LineImportance, type DecisionLog} from './decision-log.js';
+import type {FleetRecords} from './fleet-records.js';
+import type {
+	Address, HeaderNames, Route, TargetInstance,
+} from './fleet-model.js';
+import {RunResult, type RunOutcome} from './link-messages.js';
+import {passedHeaders, type HeaderList} from './message-headers.js';
+import type {PeerLinks} from './peer-links.js';
+import type {InstanceOutcome, Placement} from './placement.js';
+import type {RetryBudget} from './retry-budget.js';
+import {RouteTable} from './route-table.js';
+import type {SidecarMetrics} from './sidecar-metrics.js';
+import type {TargetRunner, TargetWork} from './target-runner.js';
+
+/** @public */
+export const requestFlowOptions = {
+	/** Limit of a request whose caller states none. */
+	defaultLimitMilliseconds: 30_000,
+	/** Instances asked after a refusal that came before any target was involved. */
+	maximumReroutes: 2,
+	/** Share of the time to the objective after which a start is of no use for a request of a caller. */
+	usefulShare: 0.5,
+	/** The same for a call of a target, whose work above is lost when it fails. */
+	usefulCallShare: 0.9,
+	/** Least time left in which another attempt is sensible. */
+	minimumRetryMilliseconds: 50,
+	/** Shortest time after which a refused caller is told to return. */
+	minimumRetryAfterMilliseconds: 100,
+	/** Wait told to callers while the node knows no policy or reaches no instance. */
+	unavailableRetryAfterMilliseconds: 400,
+} as const;
+
+/** @public */
+export type EntryRequest = {
+	method: string;
+	/** Value of the `Host` header. */
+	host: string;
+	path: string;
+	headers: HeaderList;
+	body: Buffer | undefined;
+	attempt: string;
+	/** Time that the sender waits, in milliseconds; undefined where it states none. */
+	limitMilliseconds: number | undefined;
+	/** True where the target beside this node sent it while it runs another request. */
+	fromTarget: boolean;
+	receivedAt: number;
+};
+
+/** @public */
+export type EntryAnswer = {status: number; headers: HeaderList; body: Uint8Array | undefined};
+
+/** @public */
+export type RequestFlowParts = {
+	service: string;
+	targetAddress: Address;
+	peerPort: number;
+	headers: HeaderNames;
+	records: FleetRecords;
+	placement: Placement;
+	budget: RetryBudget;
+	links: PeerLinks;
+	runner: TargetRunner;
+	log: DecisionLog;
+	metrics: SidecarMetrics;
+	clock: Clock;
+	random: () => number;
+};
+
+const jsonHeaders: HeaderList = ['Content-Type', 'application/json'];
+
+/**
+ * Creates the flows of requests.
+ *
+ * @public
+ */
+export class RequestFlows {
+	private table: RouteTable | undefined;
+	private tableVersion = 0;
+	private readonly replacedHeaders: ReadonlySet<string>;
+	private active = 0;
+
+	constructor(readonly parts: RequestFlowParts) {
+		const {headers} = parts;
+		this.replacedHeaders = new Set(['content-length', headers.remainingTime, headers.expectedInstance, headers.callerService]);
+	}
+
+	/** Requests without a final answer. */
+	get activeCount(): number {
+		return this.active;
+	}
+
+	/** Answers a request once. Returns a function to call when the sender left. */
+	handle(request: EntryRequest, respond: (answer: EntryAnswer) => void): () => void {
+		const {records, metrics} = this.parts;
+		const {policy} = records;
+		if (policy === undefined) {
+			respond(this.refusal('no-policy', requestFlowOptions.unavailableRetryAfterMilliseconds));
+			metrics.countRequest('none', 'refused', 'no-policy');
+			return doNothing;
+		}
+
+		if (this.table === undefined || this.tableVersion !== policy.version) {
+			this.table = new RouteTable(policy);
+			this.tableVersion = policy.version;
+		}
+
+		const route = this.table.find(request.host, request.path);
+		if (route === undefined) {
+			respond(ownAnswer(404, 'unknown-route'));
+			metrics.countRequest('none', 'rejected', 'unknown-route');
+			this.parts.log.line('request', {
+				id: request.attempt, outcome: 'rejected', reason: 'unknown-route', host: request.host, path: request.path, policyVersion: policy.version,
+			});
+			return doNothing;
+		}
+
+		const service = this.table.nextService(route);
+		if (request.fromTarget) {
+			this.parts.runner.noteCall(service);
+		} else {
+			this.parts.budget.noteRequest(service);
+		}
+
+		this.active += 1;
+		const flow = new RequestFlow(this, request, route, service, passedHeaders(request.headers, this.replacedHeaders), answer => {
+			this.active -= 1;
+			respond(answer);
+		}, () => {
+			this.active -= 1;
+		});
+		flow.start();
+		return () => {
+			flow.leave();
+		};
+	}
+
+	refusal(reason: string, retryAfterMilliseconds: number): EntryAnswer {
+		const spread = retryAfterMilliseconds * (0.75 + (this.parts.random() * 0.5));
+		const seconds = Math.max(requestFlowOptions.minimumRetryAfterMilliseconds, spread) / 1000;
+		const answer = ownAnswer(503, reason);
+		return {...answer, headers: [...answer.headers, 'Retry-After', seconds.toFixed(2)]};
+	}
+}
+
+class RequestFlow {
+	private readonly parts: RequestFlowParts;
+	private readonly tried = new Set<string>();
+	private readonly deadlineAt: number;
+	private readonly usefulUntil: number;
+	private readonly rank: number;
+	private reroutes = 0;
+	private arrivals = 0;
+	private mayHaveRun = false;
+	private done = false;
+	private cancelCurrent: (() => void) | undefined;
+	private endCurrent: ((outcome: InstanceOutcome | undefined) => void) | undefined;
+	private fallback: EntryAnswer | undefined;
+	private cancelDeadline: (() => void) | undefined;
+	private lastInstance = '';
+	private lastReason = '';
+
+	constructor(
+		private readonly flows: RequestFlows,
+		private readonly request: EntryRequest,
+		private readonly route: Route,
+		private readonly service: string,
+		private readonly headers: string[],
+		private readonly respond: (answer: EntryAnswer) => void,
+		private readonly onLeft: () => void,
+	) {
+		this.parts = flows.parts;
+		const limit = Math.min(request.limitMilliseconds ?? requestFlowOptions.defaultLimitMilliseconds, route.timeoutMilliseconds);
+		this.deadlineAt = request.receivedAt + limit;
+		this.rank = request.fromTarget ? 0 : 1 + route.rank;
+		this.usefulUntil = request.receivedAt + (request.fromTarget
+			? limit * requestFlowOptions.usefulCallShare
+			: Math.min(limit, route.objectiveMilliseconds) * requestFlowOptions.usefulShare);
+	}
+
+	start(): void {
+		this.cancelDeadline = this.parts.clock.after(this.deadlineAt - this.parts.clock.now(), () => {
+			this.expire();
+		});
+		this.attempt();
+	}
+
+	/** The sender closed its connection: ends the work, nobody is left to answer. */
+	leave(): void {
+		if (this.done) {
+			return;
+		}
+
+		this.finishCommon('left', 'caller-left');
+		this.cancelCurrent?.();
+		this.endCurrent?.(undefined);
+		this.onLeft();
+	}
+
+	private attempt(): void {
+		const {records, placement, links, peerPort} = this.parts;
+		const instance = placement.choose({
+			candidates: records.instancesOf(this.service),
+			excluded: this.tried,
+			isReachable: candidate => this.isOwn(candidate) || !links.isUnreachable({host: candidate.address.host, port: peerPort}),
+		});
+		if (instance === undefined) {
+			this.conclude(this.lastReason === '' ? 'no-instance' : this.lastReason, requestFlowOptions.unavailableRetryAfterMilliseconds);
+			return;
+		}
+
+		this.tried.add(instance.name);
+		this.lastInstance = instance.name;
+		placement.begin(instance);
+		let ended = false;
+		this.endCurrent = outcome => {
+			if (!ended) {
+				ended = true;
+				placement.end(instance, outcome);
+			}
+		};
+
+		const end = this.endCurrent;
+		this.cancelCurrent = this.send(instance, outcome => {
+			end(instanceOutcome(outcome));
+			if (!this.done) {
+				this.receive(outcome);
+			}
+		});
+	}
+
+	private send(instance: TargetInstance, settle: (outcome: RunOutcome) => void): () => void {
+		const {clock, runner, links, peerPort, service} = this.parts;
+		const {request} = this;
+		if (this.isOwn(instance)) {
+			const work: TargetWork = {
+				instance: instance.name, attempt: request.attempt, callerService: service, rank: this.rank, deadlineAt: this.deadlineAt,
+				latestStartAt: this.usefulUntil, method: request.method, path: request.path, headers: this.headers, body: request.body,
+			};
+			return runner.run(work, settle);
+		}
+
+		const now = clock.now();
+		return links.handOver({host: instance.address.host, port: peerPort}, {
+			instance: instance.name, service: this.service, callerService: service, attempt: request.attempt, rank: this.rank,
+			remainingMilliseconds: this.deadlineAt - now, usefulMilliseconds: this.usefulUntil - now,
+			method: request.method, path: request.path, headers: this.headers, body: request.body,
+		}, settle);
+	}
+
+	private isOwn(instance: TargetInstance): boolean {
+		const {targetAddress} = this.parts;
+		return instance.address.host === targetAddress.host && instance.address.port === targetAddress.port;
+	}
+
+	private receive(outcome: RunOutcome): void {
+		if (outcome.result === RunResult.answered) {
+			this.receiveAnswer(outcome);
+		} else if (outcome.result === RunResult.notRun) {
+			this.receiveRefusal(outcome);
+		} else {
+			this.arrivals += 1;
+			this.mayHaveRun = true;
+			this.lastReason = outcome.reason;
+			if (!this.retry()) {
+				this.conclude(outcome.reason, 0);
+			}
+		}
+	}
+
+	private receiveAnswer(outcome: Extract<RunOutcome, {result: 'answered'}>): void {
+		this.arrivals += 1;
+		const answer: EntryAnswer = {status: outcome.status, headers: outcome.headers, body: outcome.body};
+		if (outcome.status >= 500) {
+			this.mayHaveRun = true;
+			this.lastReason = `target-answered-${outcome.status}`;
+			this.fallback = answer;
+			if (this.retry()) {
+				return;
+			}
+		}
+
+		this.finish(answer, outcome.status < 500 ? 'served' : 'target-failed', this.lastReason);
+	}
+
+	private receiveRefusal(outcome: Extract<RunOutcome, {result: 'not-run'}>): void {
+		this.lastReason = outcome.reason;
+		if (outcome.reachedTarget) {
+			this.arrivals += 1;
+			if (this.retry(true)) {
+				return;
+			}
+		} else if (this.reroutes < requestFlowOptions.maximumReroutes && this.hasTime() && this.arrivals === 0) {
+			this.reroutes += 1;
+			this.attempt();
+			return;
+		}
+
+		this.conclude(outcome.reason, outcome.roomInMilliseconds);
+	}
+
+	/** Sends the request to another target where the route, the time and the retry budget allow it. */
+	private retry(surelyNotRun = false): boolean {
+		const allowed = surelyNotRun || this.route.repeatable;
+		if (!allowed || this.arrivals >= this.route.maximumTargets || !this.hasTime() || !this.hasOtherInstance()) {
+			return false;
+		}
+
+		if (!this.parts.budget.take(this.service)) {
+			this.parts.metrics.countRetry('denied');
+			return false;
+		}
+
+		this.parts.metrics.countRetry('sent');
+		this.attempt();
+		return true;
+	}
+
+	private hasOtherInstance(): boolean {
+		return this.parts.records.instancesOf(this.service).some(instance => instance.state === 'ready' && !this.tried.has(instance.name));
+	}
+
+	private hasTime(): boolean {
+		return this.deadlineAt - this.parts.clock.now() > requestFlowOptions.minimumRetryMilliseconds;
+	}
+
+	private expire(): void {
+		if (this.done) {
+			return;
+		}
+
+		this.cancelCurrent?.();
+		this.endCurrent?.(undefined);
+		// The instance that holds the request has not said that it did not run it.
+		this.finish(this.fallback ?? ownAnswer(504, 'deadline-exceeded'), 'failed', 'deadline-exceeded');
+	}
+
+	/** Ends a request that no instance answered. */
+	private conclude(reason: string, roomInMilliseconds: number): void {
+		if (this.fallback !== undefined) {
+			this.finish(this.fallback, 'target-failed', reason);
+		} else if (this.mayHaveRun) {
+			this.finish(ownAnswer(502, reason), 'failed', reason);
+		} else {
+			this.finish(this.flows.refusal(reason, roomInMilliseconds), 'refused', reason);
+		}
+	}
+
+	private finish(answer: EntryAnswer, outcome: string, reason: string): void {
+		this.finishCommon(outcome, reason, answer.status);
+		this.respond(answer);
+	}
+
+	private finishCommon(outcome: string, reason: string, status?: number): void {
+		this.done = true;
+		this.cancelDeadline?.();
+		const {log, metrics, clock, records} = this.parts;
+		const milliseconds = clock.now() - this.request.receivedAt;
+		metrics.countRequest(this.route.name, outcome, outcome === 'served' ? '' : reason);
+		metrics.observeRequest(this.route.name, milliseconds);
+		const importance = outcome === 'served' ? LineImportance.routine : LineImportance.needed;
+		if (importance === LineImportance.routine && !log.takesRoutine) {
+			log.omit('request');
+			return;
+		}
+
+		log.line('request', {
+			id: this.request.attempt, route: this.route.name, service: this.service, fromTarget: this.request.fromTarget, outcome, reason, status,
+			instance: this.lastInstance, targetsReached: this.arrivals, reroutes: this.reroutes, milliseconds: Math.round(milliseconds),
+			limitMilliseconds: Math.round(this.deadlineAt - this.request.receivedAt), policyVersion: records.policy?.version,
+			policyAgeMilliseconds: Math.round(records.policyAge),
+		}, importance);
+	}
+}
+
+function instanceOutcome(outcome: RunOutcome): InstanceOutcome | undefined {
+	if (outcome.result === RunResult.answered) {
+		return outcome.status < 500 ? 'served' : 'failed';
+	}
+
+	if (outcome.result === RunResult.mayHaveRun) {
+		return 'failed';
+	}
+
+	if (outcome.reason === 'another-instance') {
+		return 'misdirected';
+	}
+
+	return outcome.reason === 'overloaded' ? undefined : 'failed';
+}
+
+/** An answer of the node itself: without the target's signature, and with the reason for the caller's log. */
+function ownAnswer(status: number, reason: string): EntryAnswer {
+	return {status, headers: jsonHeaders, body: Buffer.from(JSON.stringify({reason}))};
+}
+
+function doNothing(): void {
+	// The request already has its answer.
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -0,0 +1,342 @@
+/**
+ * Builds the parts of one node, starts its listeners and stops them in order.
+ */
+import 'reflect-metadata';
+import {randomInt} from 'node:crypto';
+import {createServer, type Server} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {container as rootContainer, type DependencyContainer} from 'tsyringe';
+import {processClock, type Clock} from './clock.js';
+import {DecisionLog} from './decision-log.js';
+import {EntryListener} from './entry-listener.js';
+import type {Address, HeaderNames, RecordDecoder} from './fleet-model.js';
+import {FleetRecords, type RecordChange} from './fleet-records.js';
+import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
+import {PeerLinks, type HandOver} from './peer-links.js';
+import {Placement} from './placement.js';
+import {RecordFollower, type RecordSource} from './record-follower.js';
+import {RequestFlows} from './request-flow.js';
+import {RetryBudget} from './retry-budget.js';
+import {SidecarMetrics} from './sidecar-metrics.js';
+import {TargetRunner} from './target-runner.js';
+
+/** @public */
+export const sidecarOptions = {
+	/** Time after SIGTERM in which callers and peers stop sending; readiness is asked once a second and two misses count. */
+	leaveMilliseconds: 2300,
+	/** Part of the grace time that is kept for closing. */
+	graceReserveMilliseconds: 300,
+	drainPollMilliseconds: 25,
+	/** Time between two looks at lapsed entries, links and the own instance. */
+	housekeepingMilliseconds: 250,
+	/** Time for which the largest number of nodes seen counts in the retry budget; two budget windows of ten seconds. */
+	nodeCountMemoryMilliseconds: 20_000,
+} as const;
+
+/** @public */
+export type SidecarSettings = {
+	node: string;
+	service: string;
+	failureDomain: string;
+	targetAddress: Address;
+	entryAddress: Address;
+	readyAddress: Address;
+	readyPath: string;
+	/** Port at which every node of the fleet accepts links. */
+	peerAddress: Address;
+	metricsAddress: Address | undefined;
+	metricsPath: string;
+	/** Slots assumed until the own instance's entry is known. */
+	firstSlots: number;
+	graceMilliseconds: number;
+	retryBudget: {ratio: number; slack: number; windowMilliseconds: number};
+	/** Prefixes of the records to follow. */
+	recordPrefixes: readonly string[];
+};
+
+/** @public */
+export type SidecarParts = {
+	settings: SidecarSettings;
+	headers: HeaderNames;
+	decode: RecordDecoder;
+	createSource(metrics: SidecarMetrics): RecordSource;
+	clock?: Clock;
+};
+
+/** @public */
+export type RunningSidecar = {stop(): Promise<void>; noteReload(fields: Record<string, string>): void; dump(): unknown};
+
+/**
+ * Starts a node and waits until its listeners accept connections.
+ *
+ * @public
+ */
+export async function startSidecar(parts: SidecarParts): Promise<RunningSidecar> {
+	const sidecar = new Sidecar(parts);
+	await sidecar.start();
+	return sidecar;
+}
+
+class Sidecar implements RunningSidecar {
+	private readonly clock: Clock;
+	private readonly settings: SidecarSettings;
+	private readonly log: DecisionLog;
+	private readonly container: DependencyContainer = rootContainer.createChildContainer();
+	private readonly metrics = new SidecarMetrics();
+	private readonly records: FleetRecords;
+	private readonly placement: Placement;
+	private readonly runner: TargetRunner;
+	private readonly links: PeerLinks;
+	private readonly flows: RequestFlows;
+	private readonly entry: EntryListener;
+	private readonly follower: RecordFollower;
+	private readonly running = new AbortController();
+	private readonly servers: Server[] = [];
+	private instanceByHost = new Map<string, string>();
+	private runningHandOvers = 0;
+	private leaving = false;
+	private nodeCount = 1;
+	private nodeCountAt = 0;
+
+	constructor(parts: SidecarParts) {
+		const {settings, headers} = parts;
+		this.settings = settings;
+		this.clock = parts.clock ?? processClock;
+		const {clock} = this;
+		const generator = xoroshiro128plus(randomInt(2 ** 31));
+		const random = () => uniformFloat64(generator);
+		this.log = new DecisionLog({node: settings.node}, clock);
+		this.records = new FleetRecords(parts.decode, () => clock.now());
+		this.placement = new Placement(settings.failureDomain, clock, random);
+		this.runner = new TargetRunner({
+			address: settings.targetAddress, slots: settings.firstSlots, headers, clock,
+		});
+		this.links = new PeerLinks(
+			{
+				isLeaving: () => this.leaving, revisions: () => this.records.revisions, load: () => this.runner.load, records: () => this.records.export(),
+			},
+			{
+				onHandOver: (request, age, answer) => this.runForPeer(request, age, answer),
+				onLoad: (peer, load) => {
+					this.noteLoad(peer, load);
+				},
+				onRecords: records => {
+					for (const record of records) {
+						this.records.apply(record, 'peer');
+					}
+				},
+				onLinkChange: (peer, state, detail) => {
+					this.log.line(state === 'open' ? 'dependency-regained' : 'dependency-lost', {dependency: 'peer', peer, detail});
+				},
+			},
+			clock,
+		);
+		const budget = new RetryBudget({
+			...settings.retryBudget, nodes: () => this.nodeCount, callsPerRun: service => this.callsPerRun(service), clock,
+		});
+		this.flows = new RequestFlows({
+			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
+			placement: this.placement, budget, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
+		});
+		this.entry = new EntryListener({
+			address: settings.entryAddress, targetHost: settings.targetAddress.host, headers, limits: () => this.records.policy?.limits,
+			handle: (request, respond) => this.flows.handle(request, respond), clock,
+		});
+		this.follower = new RecordFollower(parts.createSource(this.metrics), this.records, this.log, random);
+		for (const part of [this.records, this.placement, this.runner, this.links, this.flows, this.entry, this.follower, budget]) {
+			this.container.registerInstance(part.constructor.name, part);
+		}
+
+		this.records.onChange(change => {
+			this.noteChange(change);
+		});
+	}
+
+	async start(): Promise<void> {
+		const {settings} = this;
+		this.log.line('start', {service: settings.service, failureDomain: settings.failureDomain});
+		await this.links.listen(settings.peerAddress);
+		await this.entry.listen();
+		await this.serve(settings.readyAddress, path => path === settings.readyPath ? {status: this.isReady() ? 200 : 503, body: ''} : undefined);
+		if (settings.metricsAddress !== undefined) {
+			this.observeGauges();
+			await this.serve(settings.metricsAddress, async path => path === settings.metricsPath
+				? {status: 200, body: await this.metrics.registry.metrics()}
+				: undefined);
+		}
+
+		void this.follower.run(settings.recordPrefixes, this.running.signal);
+		this.keepHouse();
+	}
+
+	async stop(): Promise<void> {
+		const startedAt = this.clock.now();
+		this.log.line('stop-requested', {activeRequests: this.flows.activeCount, runningHandOvers: this.runningHandOvers});
+		this.leaving = true;
+		this.entry.leave();
+		this.links.announce();
+		const lastAt = startedAt + this.settings.graceMilliseconds - sidecarOptions.graceReserveMilliseconds;
+		while (this.clock.now() < lastAt && (this.clock.now() - startedAt < sidecarOptions.leaveMilliseconds || this.isBusy())) {
+			await delay(sidecarOptions.drainPollMilliseconds);
+			if (this.clock.now() - startedAt >= sidecarOptions.leaveMilliseconds) {
+				this.entry.closeIdle();
+			}
+		}
+
+		this.log.line('stop', {activeRequests: this.flows.activeCount, runningHandOvers: this.runningHandOvers});
+		this.running.abort();
+		this.entry.close();
+		this.links.close();
+		for (const server of this.servers) {
+			server.close();
+			server.closeAllConnections();
+		}
+	}
+
+	noteReload(fields: Record<string, string>): void {
+		this.log.line('reload', fields);
+	}
+
+	dump(): unknown {
+		return {records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), load: this.runner.load};
+	}
+
+	private isBusy(): boolean {
+		return this.flows.activeCount > 0 || this.runningHandOvers > 0;
+	}
+
+	private isReady(): boolean {
+		return !this.leaving && this.records.policy !== undefined && this.instanceByHost.size > 0;
+	}
+
+	private runForPeer(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome, load: LoadReport) => void): () => void {
+		if (this.leaving) {
+			answer({
+				result: RunResult.notRun, reason: 'leaving', reachedTarget: false, roomInMilliseconds: 0,
+			}, this.runner.load);
+			return () => undefined;
+		}
+
+		const now = this.clock.now();
+		this.runningHandOvers += 1;
+		const cancel = this.runner.run({
+			instance: request.instance, attempt: request.attempt, callerService: request.callerService, rank: request.rank,
+			deadlineAt: now + request.remainingMilliseconds - ageMilliseconds, latestStartAt: now + request.usefulMilliseconds - ageMilliseconds,
+			method: request.method, path: request.path, headers: request.headers, body: request.body,
+		}, outcome => {
+			this.runningHandOvers -= 1;
+			if (outcome.result !== RunResult.answered) {
+				this.log.line('hand-over', {
+					id: request.attempt, instance: request.instance, rank: request.rank, outcome: outcome.result, reason: outcome.reason,
+					ageMilliseconds: Math.round(ageMilliseconds), remainingMilliseconds: Math.round(request.remainingMilliseconds),
+					...this.runner.queue.load,
+				});
+			}
+
+			answer(outcome, this.runner.load);
+		});
+		return () => {
+			this.runningHandOvers -= 1;
+			cancel();
+		};
+	}
+
+	private noteLoad(peer: string, load: LoadReport): void {
+		const name = this.instanceByHost.get(peer.slice(0, peer.lastIndexOf(':')));
+		if (name !== undefined) {
+			this.placement.report(name, load);
+		}
+	}
+
+	/** The largest number of calls per run that any instance of the service reports. */
+	private callsPerRun(service: string): Record<string, number> {
+		const calls: Record<string, number> = {};
+		for (const instance of this.records.instancesOf(service)) {
+			const load = instance.address.host === this.settings.targetAddress.host ? this.runner.load : this.placement.loadOf(instance.name);
+			for (const [called, count] of Object.entries(load?.callsPerRun ?? {})) {
+				calls[called] = Math.max(calls[called] ?? 0, count);
+			}
+		}
+
+		return calls;
+	}
+
+	private noteChange(change: RecordChange): void {
+		this.log.line('belief', change);
+		const {policy} = this.records;
+		if (policy !== undefined) {
+			this.entry.applyLimits(policy.limits);
+		}
+
+		const instances = this.records.instances();
+		this.instanceByHost = new Map(instances.map(instance => [instance.address.host, instance.name]));
+		this.placement.retain(new Set(instances.map(instance => instance.name)));
+		const {targetAddress} = this.settings;
+		const own = instances.find(({address}) => address.host === targetAddress.host && address.port === targetAddress.port);
+		if (own !== undefined) {
+			this.runner.queue.setSlots(own.slots);
+		}
+
+		this.countNodes();
+	}
+
+	private countNodes(): void {
+		const count = Math.max(1, this.instanceByHost.size);
+		const now = this.clock.now();
+		if (count >= this.nodeCount || now - this.nodeCountAt > sidecarOptions.nodeCountMemoryMilliseconds) {
+			this.nodeCount = count;
+			this.nodeCountAt = now;
+		}
+	}
+
+	private keepHouse(): void {
+		this.clock.after(sidecarOptions.housekeepingMilliseconds, () => {
+			if (this.running.signal.aborted) {
+				return;
+			}
+
+			this.records.expireLapsed();
+			this.countNodes();
+			if (!this.records.serviceReachable) {
+				this.links.requestRecords();
+			}
+
+			const {targetAddress, peerAddress} = this.settings;
+			for (const {address} of this.records.instances()) {
+				if (address.host !== targetAddress.host) {
+					this.links.ensure({host: address.host, port: peerAddress.port});
+				}
+			}
+
+			this.keepHouse();
+		});
+	}
+
+	private observeGauges(): void {
+		const {queue} = this.runner;
+		this.metrics.observe('hemlockthread_queue_waiting_requests', 'Requests that wait for the target', () => queue.load.waiting);
+		this.metrics.observe('hemlockthread_target_active_requests', 'Requests at the target', () => queue.load.active);
+		this.metrics.observe('hemlockthread_target_limit_requests', 'Requests that may be at the target at once', () => queue.load.limit);
+		this.metrics.observe('hemlockthread_policy_version', 'Version of the policy in force', () => this.records.revisions.policyVersion);
+		this.metrics.observe('hemlockthread_policy_age_seconds', 'Time since the policy in force arrived', () => this.records.policyAge / 1000);
+		this.metrics.observe('hemlockthread_target_connections', 'Connections to the target', () => this.runner.connections.openCount);
+	}
+
+	private async serve(
+		address: Address,
+		answer: (path: string) => {status: number; body: string} | undefined | Promise<{status: number; body: string} | undefined>,
+	): Promise<void> {
+		const server = createServer(async (request, response) => {
+			const {status, body} = await answer((request.url ?? '').split('?', 1)[0]!) ?? {status: 404, body: ''};
+			response.writeHead(status, {'content-type': 'text/plain'});
+			response.end(body);
+		});
+		this.servers.push(server);
+		await new Promise<void>((resolve, reject) => {
+			server.once('error', reject);
+			server.listen(address.port, address.host, resolve);
+		});
+	}
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -0,0 +1,361 @@
+/**
+ * HTTP/1.1 connections to the target beside this node.
+ *
+ * One connection carries one request at a time. It is kept for the next request only while its state is certain: after a
+ * whole answer with a known end, with no bytes beyond it and the request written out. An answer is accepted only if it
+ * echoes the attempt of the request, because a faulty target may send an answer twice or late. The parser is a library;
+ * `node:http` hides which bytes came after an answer, and costs more processor time for each request.
+ */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {HTTPParser} from 'http-parser-js';
+import type {Clock} from './clock.js';
+import type {Address} from './fleet-model.js';
+import {headerValue, type HeaderList} from './message-headers.js';
+
+/** @public */
+export const targetConnectionOptions = {
+	/** Longest wait for a connection to the target on the same machine. */
+	connectTimeoutMilliseconds: 1000,
+	/** Idle time after which a connection is not used again where the target states none; below common server defaults of 5 s. */
+	idleMilliseconds: 4000,
+	/** Subtracted from the idle time that the target states, for its clock and the way of the request. */
+	idleMarginMilliseconds: 1000,
+	/** Memory bound of one answer. */
+	maximumAnswerBytes: 32 * 1024 * 1024,
+} as const;
+
+/** @public */
+export type TargetRequest = {
+	method: string;
+	path: string;
+	headers: HeaderList;
+	body: Buffer | undefined;
+	/** Value that the answer must echo. */
+	attempt: string;
+};
+
+/** @public */
+export type TargetAnswer = {status: number; headers: HeaderList; body: Buffer};
+
+/**
+ * How a request ended at the target.
+ *
+ * - `answered`: a whole answer to this request.
+ * - `unsent`: nothing was written.
+ * - `lost`: the request was written and no whole answer came.
+ *
+ * @public
+ */
+export type TargetOutcome
+	= | {type: 'answered'; answer: TargetAnswer}
+		| {type: 'unsent'; cause: string}
+		| {type: 'lost'; cause: string};
+
+/** Ends the request at the target. @public */
+export type CancelRequest = () => void;
+
+const kOnHeadersComplete = HTTPParser.kOnHeadersComplete as 2;
+const kOnBody = HTTPParser.kOnBody as 3;
+const kOnMessageComplete = HTTPParser.kOnMessageComplete as 4;
+HTTPParser.encoding = 'latin1';
+const digits = /^\d{1,15}$/v;
+const chunkSize = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/iv;
+
+type ParserState = {offset: number; end: number; consumeLine(): string | undefined; state: string; body_bytes: number};
+type AnswerInfo = {statusCode: number; headers: string[]; shouldKeepAlive: boolean};
+
+class StrictParser extends HTTPParser {}
+
+// The library declares its parsing steps as private. It takes a malformed chunk size as the end of the body, which would
+// make a cut answer look whole.
+(StrictParser.prototype as unknown as {BODY_CHUNKHEAD(this: ParserState): void}).BODY_CHUNKHEAD = function () {
+	const line = this.consumeLine();
+	if (line === undefined) {
+		return;
+	}
+
+	if (!chunkSize.test(line)) {
+		throw new Error('malformed chunk size');
+	}
+
+	this.body_bytes = Number.parseInt(line, 16);
+	this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
+};
+
+type Exchange = {request: TargetRequest; settle(outcome: TargetOutcome): void};
+
+/** @public */
+export type TargetConnectionsOptions = {address: Address; clock: Clock; attemptHeader: string};
+
+/**
+ * Connections to one target.
+ *
+ * @public
+ */
+export class TargetConnections {
+	private idle: TargetConnection[] = [];
+	private readonly open = new Set<TargetConnection>();
+	private opened = 0;
+
+	constructor(private readonly options: TargetConnectionsOptions) {}
+
+	/** Connections opened since the start. */
+	get openedCount(): number {
+		return this.opened;
+	}
+
+	get openCount(): number {
+		return this.open.size;
+	}
+
+	/** Sends a request; calls `settle` once, unless the request is cancelled. */
+	send(request: TargetRequest, settle: (outcome: TargetOutcome) => void): CancelRequest {
+		const connection = this.takeIdle() ?? this.connect();
+		connection.send({request, settle});
+		return () => {
+			connection.abandon();
+		};
+	}
+
+	/** Closes connections without a request; those at work close after their answer. */
+	close(): void {
+		for (const connection of this.idle) {
+			connection.destroy();
+		}
+
+		this.idle = [];
+	}
+
+	private takeIdle(): TargetConnection | undefined {
+		for (let connection = this.idle.pop(); connection !== undefined; connection = this.idle.pop()) {
+			if (connection.isReusable()) {
+				return connection;
+			}
+
+			connection.destroy();
+		}
+
+		return undefined;
+	}
+
+	private connect(): TargetConnection {
+		this.opened += 1;
+		const connection: TargetConnection = new TargetConnection(this.options, {
+			onIdle: () => {
+				this.idle.push(connection);
+			},
+			onClosed: () => {
+				this.open.delete(connection);
+				const index = this.idle.indexOf(connection);
+				if (index !== -1) {
+					this.idle.splice(index, 1);
+				}
+			},
+		});
+		this.open.add(connection);
+		return connection;
+	}
+}
+
+type ConnectionEvents = {onIdle(): void; onClosed(): void};
+
+class TargetConnection {
+	private readonly socket: Socket;
+	private readonly parser = new StrictParser(HTTPParser.RESPONSE);
+	private readonly attemptHeader: string;
+	private exchange: Exchange | undefined;
+	private connected = false;
+	private closed = false;
+	private written = false;
+	/** True once this connection must not carry another request. */
+	private spoilt = false;
+	private info: AnswerInfo | undefined;
+	private chunks: Buffer[] = [];
+	private receivedBytes = 0;
+	private idleUntil = Number.POSITIVE_INFINITY;
+	private readonly cancelConnectTimeout: () => void;
+
+	constructor(private readonly options: TargetConnectionsOptions, private readonly events: ConnectionEvents) {
+		this.attemptHeader = options.attemptHeader;
+		const {host, port} = options.address;
+		this.socket = connect({host, port, noDelay: true});
+		this.cancelConnectTimeout = options.clock.after(targetConnectionOptions.connectTimeoutMilliseconds, () => {
+			this.fail('connecting took too long');
+		});
+		this.socket.once('connect', () => {
+			this.connected = true;
+			this.cancelConnectTimeout();
+			this.write();
+		});
+		this.socket.on('data', (bytes: Buffer) => {
+			this.receive(bytes);
+		});
+		this.socket.on('end', () => {
+			this.receiveEnd();
+		});
+		this.socket.on('error', (error: NodeJS.ErrnoException) => {
+			this.fail(error.code ?? error.message);
+		});
+		this.socket.on('close', () => {
+			this.fail('connection closed');
+		});
+		this.parser[kOnHeadersComplete] = info => {
+			this.info = info as unknown as AnswerInfo;
+			const length = headerValue(this.info.headers, 'content-length');
+			if (length !== undefined && !digits.test(length)) {
+				throw new Error('malformed content-length');
+			}
+
+			return this.exchange?.request.method === 'HEAD' ? 1 : 0;
+		};
+
+		this.parser[kOnBody] = (chunk: Buffer, offset: number, length: number) => {
+			this.receivedBytes += length;
+			if (this.receivedBytes > targetConnectionOptions.maximumAnswerBytes) {
+				throw new Error('answer too large');
+			}
+
+			this.chunks.push(offset === 0 && length === chunk.length ? chunk : chunk.subarray(offset, offset + length));
+		};
+
+		this.parser[kOnMessageComplete] = () => {
+			this.completeMessage();
+		};
+	}
+
+	isReusable(): boolean {
+		return !this.closed && !this.spoilt && this.options.clock.now() < this.idleUntil;
+	}
+
+	send(exchange: Exchange): void {
+		this.exchange = exchange;
+		this.written = false;
+		if (this.connected) {
+			this.write();
+		}
+	}
+
+	/** Gives the request up: closing the connection is what ends the work at the target. */
+	abandon(): void {
+		if (this.exchange !== undefined) {
+			this.exchange = undefined;
+			this.destroy();
+		}
+	}
+
+	destroy(): void {
+		this.closed = true;
+		this.cancelConnectTimeout();
+		this.socket.destroy();
+	}
+
+	private write(): void {
+		if (this.exchange === undefined || this.written) {
+			return;
+		}
+
+		this.written = true;
+		const {method, path, headers, body} = this.exchange.request;
+		let head = `${method} ${path} HTTP/1.1\r\n`;
+		for (let index = 0; index < headers.length; index += 2) {
+			head += `${headers[index]!}: ${headers[index + 1]!}\r\n`;
+		}
+
+		if (body === undefined) {
+			this.socket.write(`${head}\r\n`, 'latin1');
+		} else {
+			this.socket.write(Buffer.concat([Buffer.from(`${head}Content-Length: ${body.length}\r\n\r\n`, 'latin1'), body]));
+		}
+	}
+
+	private receive(bytes: Buffer): void {
+		if (this.exchange === undefined) {
+			// Bytes that belong to no request.
+			this.destroy();
+			return;
+		}
+
+		let result: number | Error;
+		try {
+			result = this.parser.execute(bytes) as number | Error;
+		} catch (error) {
+			result = error as Error;
+		}
+
+		if (result instanceof Error) {
+			this.fail(`unreadable answer: ${result.message}`);
+		}
+	}
+
+	private receiveEnd(): void {
+		if (this.exchange !== undefined && this.info !== undefined) {
+			// An answer without a length ends with its connection.
+			this.spoilt = true;
+			this.parser.finish();
+		}
+
+		this.fail('connection ended');
+	}
+
+	private completeMessage(): void {
+		const info = this.info!;
+		const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+		this.info = undefined;
+		this.chunks = [];
+		this.receivedBytes = 0;
+		const {exchange} = this;
+		const {offset, end} = this.parser as unknown as ParserState;
+		if (offset < end || !info.shouldKeepAlive) {
+			this.spoilt = true;
+		}
+
+		if (exchange === undefined || info.statusCode < 200) {
+			return;
+		}
+
+		if (headerValue(info.headers, this.attemptHeader) !== exchange.request.attempt) {
+			// A repeated or late answer to an earlier request; the one to this request may still follow.
+			this.spoilt = true;
+			return;
+		}
+
+		this.exchange = undefined;
+		this.rest(info);
+		exchange.settle({type: 'answered', answer: {status: info.statusCode, headers: info.headers, body}});
+	}
+
+	/** Keeps the connection for the next request, or closes it. */
+	private rest(info: AnswerInfo): void {
+		if (this.spoilt || this.socket.writableLength > 0) {
+			this.destroy();
+			return;
+		}
+
+		this.idleUntil = this.options.clock.now() + idleMilliseconds(info.headers);
+		this.events.onIdle();
+	}
+
+	private fail(cause: string): void {
+		if (this.closed && this.exchange === undefined) {
+			this.events.onClosed();
+			return;
+		}
+
+		const {exchange} = this;
+		this.exchange = undefined;
+		this.destroy();
+		this.events.onClosed();
+		exchange?.settle({type: this.written ? 'lost' : 'unsent', cause});
+	}
+}
+
+/** How long a connection may stay idle and still be used, from the `Keep-Alive` header where there is one. */
+function idleMilliseconds(headers: HeaderList): number {
+	const stated = /timeout=(?<seconds>\d+)/iv.exec(headerValue(headers, 'keep-alive') ?? '');
+	if (stated === null) {
+		return targetConnectionOptions.idleMilliseconds;
+	}
+
+	return (Number(stated.groups!.seconds) * 1000) - targetConnectionOptions.idleMarginMilliseconds;
+}
--- /dev/null
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -0,0 +1,198 @@
+/**
+ * Runs requests at the target beside this node: waits for a slot, sends the request with the name of the instance that must
+ * run it, and says truthfully whether it ran.
+ */
+import {Buffer} from 'node:buffer';
+import type {Clock} from './clock.js';
+import type {Address, HeaderNames} from './fleet-model.js';
+import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
+import {headerValue} from './message-headers.js';
+import {TargetConnections, type TargetOutcome} from './target-connection.js';
+import {TargetQueue} from './target-queue.js';
+
+/** A request for the target. @public */
+export type TargetWork = {
+	instance: string;
+	attempt: string;
+	callerService: string;
+	/** Lower ranks start first. */
+	rank: number;
+	/** Monotonic time at which the sender stops waiting. */
+	deadlineAt: number;
+	/** Monotonic time after which a start is of no use. */
+	latestStartAt: number;
+	method: string;
+	path: string;
+	headers: readonly string[];
+	body: Uint8Array | undefined;
+};
+
+/** Statuses with which a target may state that it did not run a request. */
+const misdirectedStatus = 421;
+/** Weight of a new outcome in the success share that is reported to peers. */
+const successWeight = 0.04;
+/** Decay of the counts from which calls per run are learned, applied at each run beyond the first hundred. */
+const callsDecay = 0.995;
+
+/** @public */
+export type TargetRunnerOptions = {address: Address; slots: number; headers: HeaderNames; clock: Clock};
+
+/**
+ * The only way to the own target.
+ *
+ * @public
+ */
+export class TargetRunner {
+	readonly queue: TargetQueue;
+	readonly connections: TargetConnections;
+	private readonly clock: Clock;
+	private readonly headers: HeaderNames;
+	private successShare = 1;
+	private runs = 0;
+	private calls: Record<string, number> = {};
+
+	constructor(options: TargetRunnerOptions) {
+		this.clock = options.clock;
+		this.headers = options.headers;
+		this.queue = new TargetQueue(options.slots, options.clock);
+		this.connections = new TargetConnections({address: options.address, clock: options.clock, attemptHeader: options.headers.attempt});
+	}
+
+	get load(): LoadReport {
+		const callsPerRun: Record<string, number> = {};
+		for (const [service, count] of Object.entries(this.calls)) {
+			callsPerRun[service] = this.runs === 0 ? 0 : Math.round(100 * count / this.runs) / 100;
+		}
+
+		return {...this.queue.load, successShare: this.successShare, callsPerRun};
+	}
+
+	/** Counts a call that the target makes while it runs a request. */
+	noteCall(service: string): void {
+		this.calls[service] = (this.calls[service] ?? 0) + 1;
+	}
+
+	/** Runs work; calls `settle` once unless cancelled. Returns a function that ends the work. */
+	run(work: TargetWork, settle: (outcome: RunOutcome) => void): () => void {
+		let cancel: () => void;
+		const takeBack = this.queue.offer({
+			rank: work.rank,
+			latestStartAt: Math.min(work.latestStartAt, work.deadlineAt),
+			start: () => {
+				cancel = this.start(work, settle);
+			},
+			refuse(roomInMilliseconds) {
+				settle({
+					result: RunResult.notRun, reason: 'overloaded', reachedTarget: false, roomInMilliseconds,
+				});
+			},
+		});
+		cancel ??= takeBack;
+		return () => {
+			cancel();
+		};
+	}
+
+	private start(work: TargetWork, settle: (outcome: RunOutcome) => void): () => void {
+		const startedAt = this.clock.now();
+		let settled = false;
+		const finish = (outcome: RunOutcome, milliseconds?: number) => {
+			settled = true;
+			cancelDeadline();
+			this.queue.release(milliseconds);
+			settle(outcome);
+		};
+
+		const cancelSend = this.connections.send(this.requestOf(work, startedAt), outcome => {
+			if (!settled) {
+				const milliseconds = this.clock.now() - startedAt;
+				finish(this.judge(outcome), outcome.type === 'answered' ? milliseconds : undefined);
+			}
+		});
+		const cancelDeadline = this.clock.after(work.deadlineAt - startedAt, () => {
+			if (!settled) {
+				cancelSend();
+				finish({result: RunResult.mayHaveRun, reason: 'deadline-exceeded'}, this.clock.now() - startedAt);
+			}
+		});
+		return () => {
+			if (!settled) {
+				settled = true;
+				cancelDeadline();
+				cancelSend();
+				this.queue.release();
+			}
+		};
+	}
+
+	private requestOf(work: TargetWork, now: number) {
+		const headers = [...work.headers];
+		headers.push(
+			this.headers.remainingTime, String(Math.max(1, Math.floor(work.deadlineAt - now))),
+			this.headers.expectedInstance, work.instance,
+			this.headers.callerService, work.callerService,
+		);
+		return {
+			method: work.method, path: work.path, headers, attempt: work.attempt,
+			body: work.body === undefined ? undefined : Buffer.from(work.body.buffer, work.body.byteOffset, work.body.byteLength),
+		};
+	}
+
+	private judge(outcome: TargetOutcome): RunOutcome {
+		if (outcome.type === 'unsent') {
+			this.noteOutcome(0);
+			return {
+				result: RunResult.notRun, reason: `target-unreachable: ${outcome.cause}`, reachedTarget: false, roomInMilliseconds: 0,
+			};
+		}
+
+		if (outcome.type === 'lost') {
+			this.noteOutcome(0);
+			return {result: RunResult.mayHaveRun, reason: `target-lost: ${outcome.cause}`};
+		}
+
+		const {status, headers, body} = outcome.answer;
+		if (status === misdirectedStatus || headerValue(headers, this.headers.notRun) !== undefined) {
+			this.noteOutcome(0);
+			return {
+				result: RunResult.notRun, reason: status === misdirectedStatus ? 'another-instance' : `target-refused-${status}`,
+				reachedTarget: true, roomInMilliseconds: 0,
+			};
+		}
+
+		const unusable = this.faultOf(status, headers);
+		if (unusable !== undefined) {
+			this.noteOutcome(0);
+			return {result: RunResult.mayHaveRun, reason: unusable};
+		}
+
+		this.noteOutcome(status < 500 ? 1 : 0);
+		this.noteRun();
+		return {
+			result: RunResult.answered, status, headers, body,
+		};
+	}
+
+	/** Why an answer can't be the target's own. */
+	private faultOf(status: number, headers: readonly string[]): string | undefined {
+		if (headerValue(headers, 'content-encoding') !== undefined) {
+			return 'answer-encoded';
+		}
+
+		return headerValue(headers, this.headers.signature) === undefined ? `answer-unsigned-${status}` : undefined;
+	}
+
+	private noteRun(): void {
+		this.runs += 1;
+		if (this.runs > 100) {
+			this.runs *= callsDecay;
+			for (const service of Object.keys(this.calls)) {
+				this.calls[service]! *= callsDecay;
+			}
+		}
+	}
+
+	private noteOutcome(success: 0 | 1): void {
+		this.successShare += (success - this.successShare) * successWeight;
+	}
+}
