--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -2,7 +2,7 @@
  * The node as a plain HTTP hop: what a platform adapter needs to run it, and its decision code for tests and experiments.
  */
 export {
-	InstanceState, type Address, type CallerLimits, type DecodedRecord, type HeaderNames, type InstanceStateName, type RecordDecoder,
+	InstanceState, type Address, type CallerLimits, type DecodedRecord, type HeaderNames, type InstanceStateName, type ParentOfCall, type RecordDecoder,
 	type Route, type RoutePart, type RoutingPolicy, type ServiceRules, type StoredRecord, type TargetInstance,
 } from './lib/fleet-model.js';
 export type {RecordListing, RecordSource, WatchAnswer} from './lib/record-follower.js';
--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -14,8 +14,6 @@
 /** @public */
 export type EntryListenerOptions = {
 	address: Address;
-	/** Address from which the own target calls. */
-	targetHost: string;
 	headers: {attempt: string; remainingTime: string};
 	limits(): CallerLimits | undefined;
 	handle(request: EntryRequest, respond: (answer: EntryAnswer) => void): () => void;
@@ -126,7 +124,6 @@
 			body,
 			attempt: headerValue(rawHeaders, this.options.headers.attempt) ?? '',
 			limitMilliseconds: Number.isFinite(stated) && stated > 0 ? stated : undefined,
-			fromTarget: this.isFromTarget(request),
 			receivedAt: this.options.clock.now(),
 		}, answer => {
 			answered = true;
@@ -141,11 +138,6 @@
 		}
 	}
 
-	private isFromTarget(request: IncomingMessage): boolean {
-		const {remoteAddress} = request.socket;
-		return remoteAddress === this.options.targetHost || remoteAddress === '127.0.0.1';
-	}
-
 	private respond(response: ServerResponse, answer: EntryAnswer): void {
 		const headers = passedHeaders(answer.headers, noneReplaced);
 		if (this.leaving) {
--- a/packages/sidecar/src/lib/fleet-model.ts
+++ b/packages/sidecar/src/lib/fleet-model.ts
@@ -107,3 +107,10 @@
 	/** Service at whose machine the request began. */
 	callerService: string;
 };
+
+/**
+ * Returns the attempt during which a target made a call, as far as the call's own attempt shows it.
+ *
+ * @public
+ */
+export type ParentOfCall = (attempt: string) => string | undefined;
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -197,6 +197,7 @@
 	private lastReceivedAt: number;
 	private lastSentAt = 0;
 	private pingedAt: number | undefined;
+	private answeredPong = false;
 	private behindSince: number | undefined;
 
 	private readonly handlers: Handlers = {
@@ -221,6 +222,12 @@
 		},
 		[LinkMessageType.pong]: message => {
 			this.receiveState(message);
+			if (!this.answeredPong) {
+				// Without a prompt stamp after its own, the peer could bound the age of requests only by the time between pings.
+				this.answeredPong = true;
+				this.ping();
+			}
+
 			if (message.load !== undefined) {
 				this.events.onLoad(this.peer, message.load);
 			}
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -9,7 +9,7 @@
 import {LineImportance, type DecisionLog} from './decision-log.js';
 import type {FleetRecords} from './fleet-records.js';
 import type {
-	Address, HeaderNames, Route, TargetInstance,
+	Address, HeaderNames, ParentOfCall, Route, TargetInstance,
 } from './fleet-model.js';
 import {RunResult, type RunOutcome} from './link-messages.js';
 import {passedHeaders, type HeaderList} from './message-headers.js';
@@ -49,8 +49,6 @@
 	attempt: string;
 	/** Time that the sender waits, in milliseconds; undefined where it states none. */
 	limitMilliseconds: number | undefined;
-	/** True where the target beside this node sent it while it runs another request. */
-	fromTarget: boolean;
 	receivedAt: number;
 };
 
@@ -65,6 +63,7 @@
 	headers: HeaderNames;
 	records: FleetRecords;
 	placement: Placement;
+	parentOfCall: ParentOfCall;
 	budget: RetryBudget;
 	links: PeerLinks;
 	runner: TargetRunner;
@@ -123,14 +122,16 @@
 		}
 
 		const service = this.table.nextService(route);
-		if (request.fromTarget) {
+		const parent = this.parts.parentOfCall(request.attempt);
+		const fromTarget = parent !== undefined && this.parts.runner.isRunning(parent);
+		if (fromTarget) {
 			this.parts.runner.noteCall(service);
 		} else {
 			this.parts.budget.noteRequest(service);
 		}
 
 		this.active += 1;
-		const flow = new RequestFlow(this, request, route, service, passedHeaders(request.headers, this.replacedHeaders), answer => {
+		const flow = new RequestFlow(this, {...request, fromTarget}, route, service, passedHeaders(request.headers, this.replacedHeaders), answer => {
 			this.active -= 1;
 			respond(answer);
 		}, () => {
@@ -169,7 +170,7 @@
 
 	constructor(
 		private readonly flows: RequestFlows,
-		private readonly request: EntryRequest,
+		private readonly request: EntryRequest & {fromTarget: boolean},
 		private readonly route: Route,
 		private readonly service: string,
 		private readonly headers: string[],
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -11,7 +11,9 @@
 import {processClock, type Clock} from './clock.js';
 import {DecisionLog} from './decision-log.js';
 import {EntryListener} from './entry-listener.js';
-import type {Address, HeaderNames, RecordDecoder} from './fleet-model.js';
+import type {
+	Address, HeaderNames, ParentOfCall, RecordDecoder,
+} from './fleet-model.js';
 import {FleetRecords, type RecordChange} from './fleet-records.js';
 import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
 import {PeerLinks, type HandOver} from './peer-links.js';
@@ -61,6 +63,7 @@
 	settings: SidecarSettings;
 	headers: HeaderNames;
 	decode: RecordDecoder;
+	parentOfCall: ParentOfCall;
 	createSource(metrics: SidecarMetrics): RecordSource;
 	clock?: Clock;
 };
@@ -138,10 +141,10 @@
 		});
 		this.flows = new RequestFlows({
 			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
-			placement: this.placement, budget, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
+			placement: this.placement, parentOfCall: parts.parentOfCall, budget, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
 		});
 		this.entry = new EntryListener({
-			address: settings.entryAddress, targetHost: settings.targetAddress.host, headers, limits: () => this.records.policy?.limits,
+			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
 			handle: (request, respond) => this.flows.handle(request, respond), clock,
 		});
 		this.follower = new RecordFollower(parts.createSource(this.metrics), this.records, this.log, random);
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -47,6 +47,7 @@
 	readonly connections: TargetConnections;
 	private readonly clock: Clock;
 	private readonly headers: HeaderNames;
+	private readonly running = new Set<string>();
 	private successShare = 1;
 	private runs = 0;
 	private calls: Record<string, number> = {};
@@ -67,6 +68,11 @@
 		return {...this.queue.load, successShare: this.successShare, callsPerRun};
 	}
 
+	/** True while the target works on an attempt. */
+	isRunning(attempt: string): boolean {
+		return this.running.has(attempt);
+	}
+
 	/** Counts a call that the target makes while it runs a request. */
 	noteCall(service: string): void {
 		this.calls[service] = (this.calls[service] ?? 0) + 1;
@@ -74,7 +80,7 @@
 
 	/** Runs work; calls `settle` once unless cancelled. Returns a function that ends the work. */
 	run(work: TargetWork, settle: (outcome: RunOutcome) => void): () => void {
-		let cancel: () => void;
+		let cancel: (() => void) | undefined;
 		const takeBack = this.queue.offer({
 			rank: work.rank,
 			latestStartAt: Math.min(work.latestStartAt, work.deadlineAt),
@@ -87,9 +93,8 @@
 				});
 			},
 		});
-		cancel ??= takeBack;
 		return () => {
-			cancel();
+			(cancel ?? takeBack)();
 		};
 	}
 
@@ -98,11 +103,13 @@
 		let settled = false;
 		const finish = (outcome: RunOutcome, milliseconds?: number) => {
 			settled = true;
+			this.running.delete(work.attempt);
 			cancelDeadline();
 			this.queue.release(milliseconds);
 			settle(outcome);
 		};
 
+		this.running.add(work.attempt);
 		const cancelSend = this.connections.send(this.requestOf(work, startedAt), outcome => {
 			if (!settled) {
 				const milliseconds = this.clock.now() - startedAt;
@@ -118,6 +125,7 @@
 		return () => {
 			if (!settled) {
 				settled = true;
+				this.running.delete(work.attempt);
 				cancelDeadline();
 				cancelSend();
 				this.queue.release();
