--- /dev/null
+++ b/packages/sidecar/src/lib/fleet-records.test.ts
@@ -0,0 +1,128 @@
+/**
+ * What the node believes of the published records, in the orders and outages in which they arrive.
+ */
+import {beforeEach, describe, expect, it} from 'vitest';
+import type {DecodedRecord, RoutingPolicy, TargetInstance} from './fleet-model.js';
+import {FleetRecords} from './fleet-records.js';
+
+let now = 0;
+let records: FleetRecords;
+
+const decode = (key: string, value: string): DecodedRecord | {type: 'unusable'; reason: string} => {
+	if (value === 'broken') {
+		return {type: 'unusable', reason: 'broken'};
+	}
+
+	return key === 'policy' ? {type: 'policy', policy: policyOf(Number(value))} : {type: 'instance', instance: {...instanceOf(key), ...JSON.parse(value)}};
+};
+
+function policyOf(version: number): RoutingPolicy {
+	return {
+		version, routes: [], services: new Map([['racks', {name: 'racks', maximumConnections: 10}]]),
+		limits: {
+			maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1,
+		},
+	};
+}
+
+function instanceOf(name: string): TargetInstance {
+	return {
+		name, service: 'racks', address: {host: '10.0.0.1', port: 80}, failureDomain: 'a', slots: 4, state: 'ready', startedAtUnixMilliseconds: 0, coldMilliseconds: 0,
+	};
+}
+
+const at = (port: number, rest: Partial<TargetInstance> = {}) => JSON.stringify({address: {host: '10.0.0.1', port}, ...rest});
+const names = () => records.instancesOf('racks').map(({name}) => name).toSorted();
+
+beforeEach(() => {
+	now = 0;
+	records = new FleetRecords(decode, () => now);
+	records.noteServiceReachable();
+});
+
+describe('records', () => {
+	it('take the higher revision, whatever the order', () => {
+		records.apply({key: 'one', revision: 5, value: at(1, {state: 'draining'})}, 'service');
+		expect(records.apply({key: 'one', revision: 3, value: at(1)}, 'peer')).toBe(false);
+		expect(records.instancesOf('racks')[0]!.state).toBe('draining');
+	});
+
+	it('do not bring a deleted entry back from an older copy', () => {
+		records.apply({key: 'one', revision: 5, value: undefined}, 'service');
+		records.apply({key: 'one', revision: 4, value: at(1)}, 'peer');
+		expect(names()).toEqual([]);
+	});
+
+	it('never put an earlier policy version in force, even under a higher revision', () => {
+		records.apply({key: 'policy', revision: 2, value: '8'}, 'service');
+		records.apply({key: 'policy', revision: 9, value: '7'}, 'service');
+		expect(records.policy?.version).toBe(8);
+	});
+
+	it('remove what a listing lacks, but not what changed after it', () => {
+		records.apply({key: 'one', revision: 5, value: at(1)}, 'service');
+		records.apply({key: 'two', revision: 9, value: at(2)}, 'peer');
+		records.applyListing('', [], 7);
+		expect(names()).toEqual(['two']);
+	});
+
+	it('name no instance for an unusable entry and keep the others', () => {
+		records.apply({key: 'one', revision: 1, value: at(1)}, 'service');
+		records.apply({key: 'two', revision: 2, value: 'broken'}, 'service');
+		expect(names()).toEqual(['one']);
+	});
+
+	it('name no instance of a service that the policy does not know', () => {
+		records.apply({key: 'policy', revision: 1, value: '1'}, 'service');
+		records.apply({key: 'one', revision: 2, value: at(1, {service: 'unknown'})}, 'service');
+		expect(records.instances()).toEqual([]);
+	});
+
+	it('give an address to the instance that started last', () => {
+		records.apply({key: 'old', revision: 9, value: at(1, {startedAtUnixMilliseconds: 1})}, 'service');
+		records.apply({key: 'new', revision: 2, value: at(1, {startedAtUnixMilliseconds: 2})}, 'service');
+		expect(names()).toEqual(['new']);
+	});
+});
+
+describe('entries that expire', () => {
+	beforeEach(() => {
+		records.apply({key: 'one', revision: 1, value: at(1)}, 'service');
+	});
+
+	it('are gone at once while the service is well', () => {
+		records.apply({key: 'one', revision: 2, value: undefined}, 'service');
+		expect(names()).toEqual([]);
+	});
+
+	it('stay in use during an outage and until shortly after it', () => {
+		records.noteServiceUnreachable();
+		now = 1000;
+		records.apply({key: 'one', revision: 2, value: undefined}, 'peer');
+		expect(names()).toEqual(['one']);
+		records.noteServiceReachable();
+		now = 3000;
+		records.expireLapsed();
+		expect(names()).toEqual(['one']);
+		now = 3600;
+		records.expireLapsed();
+		expect(names()).toEqual([]);
+	});
+
+	it('stay in use where they return after the outage', () => {
+		records.noteServiceUnreachable();
+		records.noteServiceReachable();
+		records.applyListing('', [], 4);
+		records.apply({key: 'one', revision: 6, value: at(1)}, 'service');
+		now = 10_000;
+		records.expireLapsed();
+		expect(names()).toEqual(['one']);
+	});
+
+	it('are gone at once where they were draining', () => {
+		records.apply({key: 'one', revision: 2, value: at(1, {state: 'draining'})}, 'service');
+		records.noteServiceUnreachable();
+		records.apply({key: 'one', revision: 3, value: undefined}, 'peer');
+		expect(names()).toEqual([]);
+	});
+});
--- /dev/null
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -0,0 +1,192 @@
+/**
+ * Answers of a faulty target: cut short, spoilt, doubled, late or without a length.
+ */
+import {Buffer} from 'node:buffer';
+import {once} from 'node:events';
+import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {processClock} from './clock.js';
+import {TargetConnections, type TargetOutcome} from './target-connection.js';
+
+type Script = (socket: Socket, attempt: string, connection: number) => void;
+
+let server: Server;
+let script: Script;
+let connections: TargetConnections;
+let opened = 0;
+const sockets = new Set<Socket>();
+
+beforeEach(async () => {
+	opened = 0;
+	server = createServer(socket => {
+		opened += 1;
+		const connection = opened;
+		sockets.add(socket);
+		let text = '';
+		socket.on('error', () => undefined);
+		socket.on('data', (bytes: Buffer) => {
+			text += bytes.toString('latin1');
+			for (let end = text.indexOf('\r\n\r\n'); end !== -1; end = text.indexOf('\r\n\r\n')) {
+				const attempt = /x-attempt: (?<id>\w+)/iv.exec(text.slice(0, end))!.groups!.id!;
+				text = text.slice(end + 4);
+				script(socket, attempt, connection);
+			}
+		});
+	}).listen(0, '127.0.0.1');
+	await once(server, 'listening');
+	connections = new TargetConnections({
+		address: {host: '127.0.0.1', port: (server.address() as AddressInfo).port}, clock: processClock, attemptHeader: 'x-attempt',
+	});
+});
+
+afterEach(() => {
+	connections.close();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	server.close();
+});
+
+async function send(attempt: string): Promise<TargetOutcome> {
+	return new Promise(resolve => {
+		connections.send({
+			method: 'GET', path: '/', headers: ['X-Attempt', attempt], attempt, body: undefined,
+		}, resolve);
+	});
+}
+
+const answer = (attempt: string, body: string, rest = '') => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nContent-Length: ${body.length}\r\n${rest}\r\n${body}`;
+const bodyOf = (outcome: TargetOutcome) => outcome.type === 'answered' ? outcome.answer.body.toString() : outcome.type;
+
+describe('a whole answer', () => {
+	it('keeps its connection for the next request', async () => {
+		script = (socket, attempt) => socket.write(answer(attempt, `for ${attempt}`));
+		expect(bodyOf(await send('a1'))).toBe('for a1');
+		expect(bodyOf(await send('a2'))).toBe('for a2');
+		expect(opened).toBe(1);
+	});
+
+	it('with `Connection: close` ends its connection', async () => {
+		script = (socket, attempt) => socket.write(answer(attempt, 'x', 'Connection: close\r\n'));
+		await send('a1');
+		await send('a2');
+		expect(opened).toBe(2);
+	});
+
+	it('in pieces of one byte is put together', async () => {
+		script = async (socket, attempt) => {
+			for (const character of answer(attempt, 'whole')) {
+				socket.write(character);
+				await delay(0);
+			}
+		};
+
+		expect(bodyOf(await send('a1'))).toBe('whole');
+	});
+
+	it('in chunks is put together', async () => {
+		script = (socket, attempt) => socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n`);
+		expect(bodyOf(await send('a1'))).toBe('abcde');
+	});
+
+	it('without a length ends with its connection', async () => {
+		script = (socket, attempt) => socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
+		expect(bodyOf(await send('a1'))).toBe('abc');
+	});
+
+	it('after an interim answer is the final one', async () => {
+		script = (socket, attempt) => socket.write(`HTTP/1.1 102 Processing\r\n\r\n${answer(attempt, 'final')}`);
+		expect(bodyOf(await send('a1'))).toBe('final');
+	});
+});
+
+describe('an answer that is not whole is lost', () => {
+	it.each<[string, (attempt: string) => string]>([
+		['cut in its body', attempt => answer(attempt, 'abcdef').slice(0, -2)],
+		['cut in its head', attempt => answer(attempt, 'abc').slice(0, 20)],
+		['cut in a chunk', attempt => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc`],
+		['with a malformed chunk size', attempt => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n\r\n`],
+		['with a malformed length', attempt => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nContent-Length: 3x\r\n\r\nabc`],
+		['that is no HTTP', () => '\u0000\u0001 not an answer\r\n\r\n'],
+		['of no bytes', () => ''],
+	])('%s', async (_name, bytes) => {
+		script = (socket, attempt) => socket.end(Buffer.from(bytes(attempt), 'latin1'));
+		expect((await send('a1')).type).toBe('lost');
+	});
+
+	it('without a length and reset', async () => {
+		script = async (socket, attempt) => {
+			socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
+			await delay(20);
+			socket.resetAndDestroy();
+		};
+
+		expect((await send('a1')).type).toBe('lost');
+	});
+});
+
+describe('an answer too many', () => {
+	it('in the same packet goes to nobody', async () => {
+		script = (socket, attempt) => socket.write(answer(attempt, `for ${attempt}`).repeat(2));
+		expect(bodyOf(await send('a1'))).toBe('for a1');
+		expect(bodyOf(await send('a2'))).toBe('for a2');
+	});
+
+	it('while the connection is idle closes it', async () => {
+		script = async (socket, attempt) => {
+			socket.write(answer(attempt, `for ${attempt}`));
+			await delay(10);
+			socket.write(answer(attempt, 'again'));
+		};
+
+		await send('a1');
+		await delay(40);
+		expect(bodyOf(await send('a2'))).toBe('for a2');
+		expect(opened).toBe(2);
+	});
+
+	it('before the answer to the next request is passed over', async () => {
+		let first = true;
+		script = (socket, attempt) => {
+			socket.write(first ? answer(attempt, `for ${attempt}`) : answer('a1', 'again') + answer(attempt, `for ${attempt}`));
+			first = false;
+		};
+
+		await send('a1');
+		expect(bodyOf(await send('a2'))).toBe('for a2');
+		expect(opened).toBe(1);
+	});
+});
+
+describe('a request that was not written is unsent', () => {
+	it('to a port without a listener', async () => {
+		const port = (server.address() as AddressInfo).port;
+		server.close();
+		connections = new TargetConnections({address: {host: '127.0.0.1', port: port === 1 ? 2 : 1}, clock: processClock, attemptHeader: 'x-attempt'});
+		expect((await send('a1')).type).toBe('unsent');
+	});
+});
+
+it('a cancelled request ends its connection and settles nothing', async () => {
+	let closed = false;
+	script = socket => {
+		socket.on('close', () => {
+			closed = true;
+		});
+	};
+
+	let settled = false;
+	const cancel = connections.send({
+		method: 'GET', path: '/', headers: ['X-Attempt', 'a1'], attempt: 'a1', body: undefined,
+	}, () => {
+		settled = true;
+	});
+	await delay(30);
+	cancel();
+	await delay(30);
+	expect({closed, settled}).toEqual({closed: true, settled: false});
+});
