--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {ProtocolError} from '@hemlockthread/verdict';
 import {Packr} from 'msgpackr';
+import type {CallsByRoute} from './call-profile.js';
 import type {StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
 
@@ -28,8 +29,6 @@
 	meanMilliseconds: number;
 	/** Share of recent requests that the target ran without a failure of its own. */
 	successShare: number;
-	/** Calls that one run at the target causes, by called service. */
-	callsPerRun: Record<string, number>;
 };
 
 /** Times of the sender's and receiver's clocks, from which the age of a message is bounded; see `LinkClock`. @public */
@@ -40,7 +39,7 @@
 	type: typeof LinkMessageType.handOver;
 	id: number;
 	instance: string;
-	service: string;
+	route: string;
 	callerService: string;
 	attempt: string;
 	rank: number;
@@ -85,7 +84,7 @@
 
 /** @public */
 export type PongMessage = LinkStamp & {
-	type: typeof LinkMessageType.pong; leaving: boolean; revisions: RevisionSummary; load: LoadReport | undefined;
+	type: typeof LinkMessageType.pong; leaving: boolean; revisions: RevisionSummary; load: LoadReport; calls: CallsByRoute;
 };
 
 /** @public */
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -5,6 +5,7 @@
 import {Buffer} from 'node:buffer';
 import {LinkClock} from '@hemlockthread/wire';
 import {WebSocket, WebSocketServer} from 'ws';
+import type {CallsByRoute} from './call-profile.js';
 import type {Clock} from './clock.js';
 import type {Address, StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
@@ -19,7 +20,7 @@
 	/** Silence on a link that owes an answer after which the peer is asked for a sign of life. */
 	pingAfterMilliseconds: 400,
 	/** Time between pings on a link without requests. */
-	idlePingMilliseconds: 1000,
+	idlePingMilliseconds: 500,
 	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
 	silenceLimitMilliseconds: 1200,
 	/** Longest wait for a connection: several round trips between domains. */
@@ -40,6 +41,7 @@
 export type PeerEvents = {
 	onHandOver(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome, load: LoadReport) => void): CancelHandOver;
 	onLoad(peer: string, load: LoadReport): void;
+	onCalls(peer: string, calls: CallsByRoute): void;
 	onRecords(records: StoredRecord[]): void;
 	onLinkChange(peer: string, state: 'open' | 'closed', detail: string): void;
 };
@@ -51,7 +53,8 @@
 export type PeerLocalState = {
 	isLeaving(): boolean;
 	revisions(): RevisionSummary;
-	load(): LoadReport | undefined;
+	load(): LoadReport;
+	calls(): CallsByRoute;
 	records(): StoredRecord[];
 };
 
@@ -217,7 +220,7 @@
 		[LinkMessageType.ping]: message => {
 			this.receiveState(message);
 			this.send({
-				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(),
+				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(), calls: this.local.calls(),
 			});
 		},
 		[LinkMessageType.pong]: message => {
@@ -228,9 +231,8 @@
 				this.ping();
 			}
 
-			if (message.load !== undefined) {
-				this.events.onLoad(this.peer, message.load);
-			}
+			this.events.onLoad(this.peer, message.load);
+			this.events.onCalls(this.peer, message.calls);
 		},
 		[LinkMessageType.wantRecords]: () => {
 			this.send({type: LinkMessageType.records, records: this.local.records()});
--- a/packages/sidecar/src/lib/placement.ts
+++ b/packages/sidecar/src/lib/placement.ts
@@ -19,6 +19,8 @@
 	firstMeanMilliseconds: 50,
 	/** Reports older than this count half. */
 	reportHalfLifeMilliseconds: 1000,
+	/** Age up to which a report counts in the load of its service; several times the time between two pings. */
+	freshMilliseconds: 2500,
 	/** Random spread of the cost of each candidate. */
 	randomShare: 0.1,
 	/** Weight of a new outcome in the observed success share of an instance. */
@@ -113,8 +115,10 @@
 		state.reportedAt = this.clock.now();
 	}
 
-	loadOf(name: string): LoadReport | undefined {
-		return this.states.get(name)?.load;
+	/** The report of an instance, unless its node has been silent for some time. */
+	freshLoadOf(name: string): LoadReport | undefined {
+		const state = this.states.get(name);
+		return state !== undefined && this.clock.now() - state.reportedAt <= placementOptions.freshMilliseconds ? state.load : undefined;
 	}
 
 	/** Forgets instances that are gone. */
--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -28,6 +28,8 @@
 export const recordFollowerOptions = {
 	/** How long a watch waits for a change; peers' revisions show a watch that went silent before that. */
 	watchMilliseconds: 8000,
+	/** Pause after a change, so that changes that come together cost one call. */
+	gatherMilliseconds: 200,
 	firstBackoffMilliseconds: 50,
 	/** The service's users expect nodes to have caught up within about two seconds of its return. */
 	maximumBackoffMilliseconds: 600,
@@ -92,6 +94,10 @@
 			this.records.apply(record, 'service');
 		}
 
+		if (answer.records.length > 0) {
+			await this.pause(recordFollowerOptions.gatherMilliseconds, signal);
+		}
+
 		return answer.revision;
 	}
 
@@ -117,8 +123,12 @@
 
 	private async backOff(failures: number, signal: AbortSignal): Promise<void> {
 		const ceiling = Math.min(recordFollowerOptions.maximumBackoffMilliseconds, recordFollowerOptions.firstBackoffMilliseconds * (2 ** Math.min(failures, 10)));
+		await this.pause(this.random() * ceiling, signal);
+	}
+
+	private async pause(milliseconds: number, signal: AbortSignal): Promise<void> {
 		try {
-			await delay(this.random() * ceiling, undefined, {signal});
+			await delay(milliseconds, undefined, {signal});
 		} catch {
 			// The wait ends early when the node stops; the loop sees the signal.
 		}
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -5,6 +5,7 @@
  * ran is used only where every node and target that was asked has said so, or nothing was sent.
  */
 import {Buffer} from 'node:buffer';
+import type {CallProfile} from './call-profile.js';
 import type {Clock} from './clock.js';
 import {LineImportance, type DecisionLog} from './decision-log.js';
 import type {FleetRecords} from './fleet-records.js';
@@ -16,6 +17,7 @@
 import type {PeerLinks} from './peer-links.js';
 import type {InstanceOutcome, Placement} from './placement.js';
 import type {RetryBudget} from './retry-budget.js';
+import type {RootAdmission} from './root-admission.js';
 import {RouteTable} from './route-table.js';
 import type {SidecarMetrics} from './sidecar-metrics.js';
 import type {TargetRunner, TargetWork} from './target-runner.js';
@@ -34,6 +36,10 @@
 	minimumRetryMilliseconds: 50,
 	/** Shortest time after which a refused caller is told to return. */
 	minimumRetryAfterMilliseconds: 100,
+	/** Mean wait told to callers that are refused for a service deeper in the graph: longer than its queue takes to shrink. */
+	rootRetryAfterMilliseconds: 500,
+	/** Time for which the learned calls of a route are not calculated again. */
+	workCacheMilliseconds: 500,
 	/** Wait told to callers while the node knows no policy or reaches no instance. */
 	unavailableRetryAfterMilliseconds: 400,
 } as const;
@@ -65,6 +71,8 @@
 	placement: Placement;
 	parentOfCall: ParentOfCall;
 	budget: RetryBudget;
+	profile: CallProfile;
+	admission: RootAdmission;
 	links: PeerLinks;
 	runner: TargetRunner;
 	log: DecisionLog;
@@ -84,6 +92,7 @@
 	private table: RouteTable | undefined;
 	private tableVersion = 0;
 	private readonly replacedHeaders: ReadonlySet<string>;
+	private readonly work = new Map<string, {work: ReadonlyMap<string, number>; until: number}>();
 	private active = 0;
 
 	constructor(readonly parts: RequestFlowParts) {
@@ -109,6 +118,8 @@
 		if (this.table === undefined || this.tableVersion !== policy.version) {
 			this.table = new RouteTable(policy);
 			this.tableVersion = policy.version;
+			this.work.clear();
+			this.parts.admission.setRanks(policy.routes.map(({rank}) => rank));
 		}
 
 		const route = this.table.find(request.host, request.path);
@@ -123,11 +134,17 @@
 
 		const service = this.table.nextService(route);
 		const parent = this.parts.parentOfCall(request.attempt);
-		const fromTarget = parent !== undefined && this.parts.runner.isRunning(parent);
+		const parentRoute = parent === undefined ? undefined : this.parts.runner.routeOfRunning(parent);
+		const fromTarget = parentRoute !== undefined;
 		if (fromTarget) {
-			this.parts.runner.noteCall(service);
+			this.parts.profile.noteCall(parentRoute, route.name);
 		} else {
 			this.parts.budget.noteRequest(service);
+			const cause = this.parts.admission.refusingService(route.rank, this.workOf(route, service).keys());
+			if (cause !== undefined) {
+				this.refuseAtRoot(request, route, cause, respond);
+				return doNothing;
+			}
 		}
 
 		this.active += 1;
@@ -143,6 +160,31 @@
 		};
 	}
 
+	/** Arrivals that a request causes at each service. */
+	workOf(route: Route, service: string): ReadonlyMap<string, number> {
+		const now = this.parts.clock.now();
+		const key = `${route.name} ${service}`;
+		const known = this.work.get(key);
+		if (known !== undefined && known.until > now) {
+			return known.work;
+		}
+
+		const {table} = this;
+		const work = this.parts.profile.workOf({name: route.name, parts: [{service, weight: 1}]}, name => table?.named(name));
+		this.work.set(key, {work, until: now + requestFlowOptions.workCacheMilliseconds});
+		return work;
+	}
+
+	private refuseAtRoot(request: EntryRequest, route: Route, cause: string, respond: (answer: EntryAnswer) => void): void {
+		const {admission, log, metrics} = this.parts;
+		respond(this.refusal('overloaded-below', requestFlowOptions.rootRetryAfterMilliseconds));
+		metrics.countRequest(route.name, 'refused', 'overloaded-below');
+		log.line('request', {
+			id: request.attempt, route: route.name, outcome: 'refused', reason: 'overloaded-below', status: 503, rank: route.rank, congestedService: cause,
+			level: Math.round(100 * admission.levelOf(cause)) / 100,
+		});
+	}
+
 	refusal(reason: string, retryAfterMilliseconds: number): EntryAnswer {
 		const spread = retryAfterMilliseconds * (0.75 + (this.parts.random() * 0.5));
 		const seconds = Math.max(requestFlowOptions.minimumRetryAfterMilliseconds, spread) / 1000;
@@ -242,7 +284,7 @@
 		const {request} = this;
 		if (this.isOwn(instance)) {
 			const work: TargetWork = {
-				instance: instance.name, attempt: request.attempt, callerService: service, rank: this.rank, deadlineAt: this.deadlineAt,
+				instance: instance.name, route: this.route.name, attempt: request.attempt, callerService: service, rank: this.rank, deadlineAt: this.deadlineAt,
 				latestStartAt: this.usefulUntil, method: request.method, path: request.path, headers: this.headers, body: request.body,
 			};
 			return runner.run(work, settle);
@@ -250,7 +292,7 @@
 
 		const now = clock.now();
 		return links.handOver({host: instance.address.host, port: peerPort}, {
-			instance: instance.name, service: this.service, callerService: service, attempt: request.attempt, rank: this.rank,
+			instance: instance.name, route: this.route.name, callerService: service, attempt: request.attempt, rank: this.rank,
 			remainingMilliseconds: this.deadlineAt - now, usefulMilliseconds: this.usefulUntil - now,
 			method: request.method, path: request.path, headers: this.headers, body: request.body,
 		}, settle);
@@ -314,7 +356,7 @@
 			return false;
 		}
 
-		if (!this.parts.budget.take(this.service)) {
+		if (!this.parts.budget.take(this.flows.workOf(this.route, this.service))) {
 			this.parts.metrics.countRetry('denied');
 			return false;
 		}
--- a/packages/sidecar/src/lib/retry-budget.test.ts
+++ b/packages/sidecar/src/lib/retry-budget.test.ts
@@ -21,7 +21,7 @@
 		fc.assert(fc.property(fc.array(event, {maxLength: 400}), fc.integer({min: 5, max: 9}), (events, believedNodes) => {
 			const clock = new FakeClock();
 			const nodes = Array.from({length: 5}, () => new RetryBudget({
-				ratio, slack, windowMilliseconds, nodes: () => believedNodes, callsPerRun: () => ({}), clock,
+				ratio, slack, windowMilliseconds, nodes: () => believedNodes, clock,
 			}));
 			const requests: number[] = [];
 			const repeats: number[] = [];
@@ -30,7 +30,7 @@
 				if (kind === 'request') {
 					nodes[node]!.noteRequest('bookings');
 					requests.push(clock.now());
-				} else if (nodes[node]!.take('bookings')) {
+				} else if (nodes[node]!.take(new Map([['bookings', 1]]))) {
 					repeats.push(clock.now());
 				}
 			}
@@ -45,32 +45,33 @@
 
 	it('charges a repeat for the calls below it', () => {
 		const clock = new FakeClock();
-		const calls: Record<string, Record<string, number>> = {provenance: {releases: 1}, releases: {intake: 1}, intake: {racks: 4}};
 		const budget = new RetryBudget({
-			ratio, slack: 20, windowMilliseconds, nodes: () => 1, callsPerRun: service => calls[service] ?? {}, clock,
+			ratio, slack: 20, windowMilliseconds, nodes: () => 1, clock,
 		});
+		const work = new Map([['provenance', 1], ['releases', 1], ['intake', 1], ['racks', 4]]);
 		let taken = 0;
-		while (budget.take('provenance')) {
+		while (budget.take(work)) {
 			taken += 1;
 		}
 
 		// 70% of 20 repeats at the racks, four for each repeat at the top.
 		expect(taken).toBe(3);
-		expect(budget.take('racks')).toBe(true);
+		expect(budget.take(new Map([['racks', 1]]))).toBe(true);
 	});
 
 	it('is free again after its window', () => {
 		const clock = new FakeClock();
 		const budget = new RetryBudget({
-			ratio, slack: 10, windowMilliseconds, nodes: () => 1, callsPerRun: () => ({}), clock,
+			ratio, slack: 10, windowMilliseconds, nodes: () => 1, clock,
 		});
-		while (budget.take('racks')) {
+		const work = new Map([['racks', 1]]);
+		while (budget.take(work)) {
 			// Takes all.
 		}
 
 		clock.advance(9000);
-		expect(budget.take('racks')).toBe(false);
+		expect(budget.take(work)).toBe(false);
 		clock.advance(3000);
-		expect(budget.take('racks')).toBe(true);
+		expect(budget.take(work)).toBe(true);
 	});
 });
--- a/packages/sidecar/src/lib/retry-budget.ts
+++ b/packages/sidecar/src/lib/retry-budget.ts
@@ -17,8 +17,6 @@
 	windowMilliseconds: number;
 	/** Number of nodes among which the slack is divided. */
 	nodes(): number;
-	/** Calls that one run of a service causes, by called service. */
-	callsPerRun(service: string): Readonly<Record<string, number>>;
 	clock: Clock;
 };
 
@@ -26,8 +24,6 @@
 const bucketsPerWindow = 10;
 /** Share of the allowance that is spent; the rest covers repeats that nodes cause without knowing, such as late duplicates. */
 const spentShare = 0.7;
-/** Calls of calls are followed this far. */
-const maximumDepth = 10;
 
 type Buckets = {requests: number[]; repeats: number[]};
 
@@ -49,10 +45,9 @@
 		requests[requests.length - 1]! += 1;
 	}
 
-	/** Takes a repeat at a service and all that it causes below; false where that would exceed the share of this node. */
-	take(service: string): boolean {
+	/** Takes a repeat with all arrivals that it causes, by service; false where that would exceed the share of this node. */
+	take(work: ReadonlyMap<string, number>): boolean {
 		this.advance();
-		const work = this.workOf(service);
 		for (const [name, count] of work) {
 			if (this.spent(name) + count > this.allowance(name)) {
 				return false;
@@ -83,26 +78,6 @@
 		return sum(this.bucketsOf(service).repeats);
 	}
 
-	/** Arrivals that one run of a service causes at each service, itself included. */
-	private workOf(service: string): Map<string, number> {
-		const work = new Map<string, number>();
-		const add = (name: string, count: number, depth: number) => {
-			work.set(name, (work.get(name) ?? 0) + count);
-			if (depth >= maximumDepth) {
-				return;
-			}
-
-			for (const [called, calls] of Object.entries(this.options.callsPerRun(name))) {
-				if (calls > 0) {
-					add(called, count * calls, depth + 1);
-				}
-			}
-		};
-
-		add(service, 1, 0);
-		return work;
-	}
-
 	private bucketsOf(service: string): Buckets {
 		let buckets = this.services.get(service);
 		if (buckets === undefined) {
--- a/packages/sidecar/src/lib/route-table.ts
+++ b/packages/sidecar/src/lib/route-table.ts
@@ -12,10 +12,12 @@
  */
 export class RouteTable {
 	private readonly byHost = new Map<string, Route[]>();
+	private readonly byName = new Map<string, Route>();
 	private readonly shares = new Map<string, Share[]>();
 
 	constructor(policy: RoutingPolicy) {
 		for (const route of policy.routes) {
+			this.byName.set(route.name, route);
 			const routes = this.byHost.get(route.host) ?? [];
 			routes.push(route);
 			this.byHost.set(route.host, routes);
@@ -31,6 +33,10 @@
 		return this.byHost.get(withoutPort(host.toLowerCase()))?.find(route => path.startsWith(route.pathPrefix));
 	}
 
+	named(name: string): Route | undefined {
+		return this.byName.get(name);
+	}
+
 	/**
 	 * Chooses the service for the next request of a route. Smooth weighted round robin keeps each share within one request
 	 * of its weight at any time, which random choice does not.
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -8,6 +8,7 @@
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {container as rootContainer, type DependencyContainer} from 'tsyringe';
+import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
 import {DecisionLog} from './decision-log.js';
 import {EntryListener} from './entry-listener.js';
@@ -21,6 +22,7 @@
 import {RecordFollower, type RecordSource} from './record-follower.js';
 import {RequestFlows} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
+import {RootAdmission, type ServiceUse} from './root-admission.js';
 import {SidecarMetrics} from './sidecar-metrics.js';
 import {TargetRunner} from './target-runner.js';
 
@@ -33,6 +35,8 @@
 	drainPollMilliseconds: 25,
 	/** Time between two looks at lapsed entries, links and the own instance. */
 	housekeepingMilliseconds: 250,
+	/** Time between two updates of the admission levels: a few of them fit between two reports of a peer. */
+	admissionMilliseconds: 100,
 	/** Time for which the largest number of nodes seen counts in the retry budget; two budget windows of ten seconds. */
 	nodeCountMemoryMilliseconds: 20_000,
 } as const;
@@ -91,6 +95,8 @@
 	private readonly records: FleetRecords;
 	private readonly placement: Placement;
 	private readonly runner: TargetRunner;
+	private readonly profile = new CallProfile();
+	private readonly admission: RootAdmission;
 	private readonly links: PeerLinks;
 	private readonly flows: RequestFlows;
 	private readonly entry: EntryListener;
@@ -112,19 +118,24 @@
 		const random = () => uniformFloat64(generator);
 		this.log = new DecisionLog({node: settings.node}, clock);
 		this.records = new FleetRecords(parts.decode, () => clock.now());
+		this.admission = new RootAdmission(random);
 		this.placement = new Placement(settings.failureDomain, clock, random);
 		this.runner = new TargetRunner({
-			address: settings.targetAddress, slots: settings.firstSlots, headers, clock,
+			address: settings.targetAddress, slots: settings.firstSlots, headers, profile: this.profile, clock,
 		});
 		this.links = new PeerLinks(
 			{
-				isLeaving: () => this.leaving, revisions: () => this.records.revisions, load: () => this.runner.load, records: () => this.records.export(),
+				isLeaving: () => this.leaving, revisions: () => this.records.revisions, load: () => this.runner.load,
+				calls: () => this.profile.export(), records: () => this.records.export(),
 			},
 			{
 				onHandOver: (request, age, answer) => this.runForPeer(request, age, answer),
 				onLoad: (peer, load) => {
 					this.noteLoad(peer, load);
 				},
+				onCalls: (peer, calls) => {
+					this.profile.receive(peer, calls);
+				},
 				onRecords: records => {
 					for (const record of records) {
 						this.records.apply(record, 'peer');
@@ -137,11 +148,11 @@
 			clock,
 		);
 		const budget = new RetryBudget({
-			...settings.retryBudget, nodes: () => this.nodeCount, callsPerRun: service => this.callsPerRun(service), clock,
+			...settings.retryBudget, nodes: () => this.nodeCount, clock,
 		});
 		this.flows = new RequestFlows({
 			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
-			placement: this.placement, parentOfCall: parts.parentOfCall, budget, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
+			placement: this.placement, parentOfCall: parts.parentOfCall, budget, profile: this.profile, admission: this.admission, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
 		});
 		this.entry = new EntryListener({
 			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
@@ -172,6 +183,7 @@
 
 		void this.follower.run(settings.recordPrefixes, this.running.signal);
 		this.keepHouse();
+		this.updateAdmission();
 	}
 
 	async stop(): Promise<void> {
@@ -203,7 +215,7 @@
 	}
 
 	dump(): unknown {
-		return {records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), load: this.runner.load};
+		return {records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), admission: this.admission.dump(), load: this.runner.load};
 	}
 
 	private isBusy(): boolean {
@@ -225,7 +237,7 @@
 		const now = this.clock.now();
 		this.runningHandOvers += 1;
 		const cancel = this.runner.run({
-			instance: request.instance, attempt: request.attempt, callerService: request.callerService, rank: request.rank,
+			instance: request.instance, route: request.route, attempt: request.attempt, callerService: request.callerService, rank: request.rank,
 			deadlineAt: now + request.remainingMilliseconds - ageMilliseconds, latestStartAt: now + request.usefulMilliseconds - ageMilliseconds,
 			method: request.method, path: request.path, headers: request.headers, body: request.body,
 		}, outcome => {
@@ -253,19 +265,6 @@
 		}
 	}
 
-	/** The largest number of calls per run that any instance of the service reports. */
-	private callsPerRun(service: string): Record<string, number> {
-		const calls: Record<string, number> = {};
-		for (const instance of this.records.instancesOf(service)) {
-			const load = instance.address.host === this.settings.targetAddress.host ? this.runner.load : this.placement.loadOf(instance.name);
-			for (const [called, count] of Object.entries(load?.callsPerRun ?? {})) {
-				calls[called] = Math.max(calls[called] ?? 0, count);
-			}
-		}
-
-		return calls;
-	}
-
 	private noteChange(change: RecordChange): void {
 		this.log.line('belief', change);
 		const {policy} = this.records;
@@ -276,8 +275,7 @@
 		const instances = this.records.instances();
 		this.instanceByHost = new Map(instances.map(instance => [instance.address.host, instance.name]));
 		this.placement.retain(new Set(instances.map(instance => instance.name)));
-		const {targetAddress} = this.settings;
-		const own = instances.find(({address}) => address.host === targetAddress.host && address.port === targetAddress.port);
+		const own = instances.find(({address}) => this.isOwnTarget(address));
 		if (own !== undefined) {
 			this.runner.queue.setSlots(own.slots);
 		}
@@ -317,6 +315,41 @@
 		});
 	}
 
+	private updateAdmission(): void {
+		this.clock.after(sidecarOptions.admissionMilliseconds, () => {
+			if (this.running.signal.aborted) {
+				return;
+			}
+
+			this.admission.update(this.clock.now(), this.serviceUses());
+			this.updateAdmission();
+		});
+	}
+
+	/** Load of each service over the instances whose reports are fresh. */
+	private serviceUses(): Map<string, ServiceUse> {
+		const uses = new Map<string, ServiceUse>();
+		for (const instance of this.records.instances()) {
+			const load = this.isOwnTarget(instance.address) ? this.runner.load : this.placement.freshLoadOf(instance.name);
+			if (load === undefined || instance.state !== 'ready') {
+				continue;
+			}
+
+			const use = uses.get(instance.service) ?? {active: 0, waiting: 0, limit: 0};
+			use.active += load.active;
+			use.waiting += load.waiting;
+			use.limit += load.limit;
+			uses.set(instance.service, use);
+		}
+
+		return uses;
+	}
+
+	private isOwnTarget(address: Address): boolean {
+		const {targetAddress} = this.settings;
+		return address.host === targetAddress.host && address.port === targetAddress.port;
+	}
+
 	private observeGauges(): void {
 		const {queue} = this.runner;
 		this.metrics.observe('hemlockthread_queue_waiting_requests', 'Requests that wait for the target', () => queue.load.waiting);
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -3,6 +3,7 @@
  * run it, and says truthfully whether it ran.
  */
 import {Buffer} from 'node:buffer';
+import type {CallProfile} from './call-profile.js';
 import type {Clock} from './clock.js';
 import type {Address, HeaderNames} from './fleet-model.js';
 import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
@@ -13,6 +14,7 @@
 /** A request for the target. @public */
 export type TargetWork = {
 	instance: string;
+	route: string;
 	attempt: string;
 	callerService: string;
 	/** Lower ranks start first. */
@@ -31,11 +33,9 @@
 const misdirectedStatus = 421;
 /** Weight of a new outcome in the success share that is reported to peers. */
 const successWeight = 0.04;
-/** Decay of the counts from which calls per run are learned, applied at each run beyond the first hundred. */
-const callsDecay = 0.995;
 
 /** @public */
-export type TargetRunnerOptions = {address: Address; slots: number; headers: HeaderNames; clock: Clock};
+export type TargetRunnerOptions = {address: Address; slots: number; headers: HeaderNames; profile: CallProfile; clock: Clock};
 
 /**
  * The only way to the own target.
@@ -47,35 +47,25 @@
 	readonly connections: TargetConnections;
 	private readonly clock: Clock;
 	private readonly headers: HeaderNames;
-	private readonly running = new Set<string>();
+	private readonly profile: CallProfile;
+	private readonly running = new Map<string, string>();
 	private successShare = 1;
-	private runs = 0;
-	private calls: Record<string, number> = {};
 
 	constructor(options: TargetRunnerOptions) {
 		this.clock = options.clock;
 		this.headers = options.headers;
+		this.profile = options.profile;
 		this.queue = new TargetQueue(options.slots, options.clock);
 		this.connections = new TargetConnections({address: options.address, clock: options.clock, attemptHeader: options.headers.attempt});
 	}
 
 	get load(): LoadReport {
-		const callsPerRun: Record<string, number> = {};
-		for (const [service, count] of Object.entries(this.calls)) {
-			callsPerRun[service] = this.runs === 0 ? 0 : Math.round(100 * count / this.runs) / 100;
-		}
-
-		return {...this.queue.load, successShare: this.successShare, callsPerRun};
-	}
-
-	/** True while the target works on an attempt. */
-	isRunning(attempt: string): boolean {
-		return this.running.has(attempt);
+		return {...this.queue.load, successShare: this.successShare};
 	}
 
-	/** Counts a call that the target makes while it runs a request. */
-	noteCall(service: string): void {
-		this.calls[service] = (this.calls[service] ?? 0) + 1;
+	/** Route of an attempt that the target works on; undefined where it does not. */
+	routeOfRunning(attempt: string): string | undefined {
+		return this.running.get(attempt);
 	}
 
 	/** Runs work; calls `settle` once unless cancelled. Returns a function that ends the work. */
@@ -109,7 +99,8 @@
 			settle(outcome);
 		};
 
-		this.running.add(work.attempt);
+		this.running.set(work.attempt, work.route);
+		this.profile.noteRun(work.route);
 		const cancelSend = this.connections.send(this.requestOf(work, startedAt), outcome => {
 			if (!settled) {
 				const milliseconds = this.clock.now() - startedAt;
@@ -175,7 +166,6 @@
 		}
 
 		this.noteOutcome(status < 500 ? 1 : 0);
-		this.noteRun();
 		return {
 			result: RunResult.answered, status, headers, body,
 		};
@@ -190,16 +180,6 @@
 		return headerValue(headers, this.headers.signature) === undefined ? `answer-unsigned-${status}` : undefined;
 	}
 
-	private noteRun(): void {
-		this.runs += 1;
-		if (this.runs > 100) {
-			this.runs *= callsDecay;
-			for (const service of Object.keys(this.calls)) {
-				this.calls[service]! *= callsDecay;
-			}
-		}
-	}
-
 	private noteOutcome(success: 0 | 1): void {
 		this.successShare += (success - this.successShare) * successWeight;
 	}
