--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -19,8 +19,8 @@
 	checkMilliseconds: 200,
 	/** Silence on a link that owes an answer after which the peer is asked for a sign of life. */
 	pingAfterMilliseconds: 400,
-	/** Time between pings on a link without requests. */
-	idlePingMilliseconds: 500,
+	/** Time between pings: what peers believe and learn travels with them. */
+	pingMilliseconds: 1000,
 	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
 	silenceLimitMilliseconds: 1200,
 	/** Longest wait for a connection: several round trips between domains. */
@@ -198,7 +198,7 @@
 	private open: boolean;
 	private closed = false;
 	private lastReceivedAt: number;
-	private lastSentAt = 0;
+	private lastPingAt = 0;
 	private pingedAt: number | undefined;
 	private answeredPong = false;
 	private behindSince: number | undefined;
@@ -300,7 +300,8 @@
 	}
 
 	ping(): void {
-		this.pingedAt ??= this.clock.now();
+		this.lastPingAt = this.clock.now();
+		this.pingedAt ??= this.lastPingAt;
 		this.send({
 			type: LinkMessageType.ping, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(),
 		});
@@ -323,17 +324,15 @@
 			return;
 		}
 
-		const after = this.pending.size > 0 ? peerLinkOptions.pingAfterMilliseconds : peerLinkOptions.idlePingMilliseconds;
-		if (this.pingedAt === undefined && Math.min(silence, now - this.lastSentAt) >= after) {
-			this.ping();
-		} else if (this.pingedAt === undefined && silence >= peerLinkOptions.idlePingMilliseconds) {
+		const isOwed = this.pending.size > 0 && silence >= peerLinkOptions.pingAfterMilliseconds;
+		if (this.pingedAt === undefined && (isOwed || now - this.lastPingAt >= peerLinkOptions.pingMilliseconds)) {
 			this.ping();
 		}
 	}
 
 	/** Ends an accepted link whose peer no longer pings. */
 	checkAccepted(): void {
-		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.idlePingMilliseconds + peerLinkOptions.silenceLimitMilliseconds) * 2) {
+		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.pingMilliseconds + peerLinkOptions.silenceLimitMilliseconds) * 2) {
 			this.close('silent');
 		}
 	}
@@ -444,7 +443,6 @@
 
 		const messages = this.outbox;
 		this.outbox = [];
-		this.lastSentAt = this.clock.now();
 		this.socket.send(encodeMessages(messages));
 	}
 }
--- /dev/null
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -0,0 +1,177 @@
+/**
+ * What callers are told, whatever happens between the nodes: truthful refusals, bounded repeats, one final answer.
+ */
+import {Buffer} from 'node:buffer';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
+import {CallProfile} from './call-profile.js';
+import {DecisionLog} from './decision-log.js';
+import {FakeClock} from './fake-clock.js';
+import type {DecodedRecord, Route, TargetInstance} from './fleet-model.js';
+import {FleetRecords} from './fleet-records.js';
+import type {RunOutcome} from './link-messages.js';
+import type {HandOver, PeerLinks} from './peer-links.js';
+import {Placement} from './placement.js';
+import {RequestFlows, type EntryAnswer} from './request-flow.js';
+import {RetryBudget} from './retry-budget.js';
+import {RootAdmission} from './root-admission.js';
+import {SidecarMetrics} from './sidecar-metrics.js';
+import {TargetRunner} from './target-runner.js';
+
+type Sent = {host: string; request: HandOver; settle(outcome: RunOutcome): void; cancelled: boolean};
+
+let clock: FakeClock;
+let flows: RequestFlows;
+let sent: Sent[];
+let slack: number;
+
+const headers = {
+	attempt: 'x-attempt', remainingTime: 'x-remaining', signature: 'x-signature', expectedInstance: 'x-expected', notRun: 'x-not-run', callerService: 'x-caller',
+};
+
+const route = (name: string, repeatable: boolean): Route => ({
+	name, host: 'shop', pathPrefix: `/${name}/`, repeatable, timeoutMilliseconds: 1000, objectiveMilliseconds: 500, maximumTargets: 2, rank: 1,
+	parts: [{service: 'racks', weight: 1}],
+});
+
+const decode = (key: string): DecodedRecord => key === 'policy'
+	? {
+		type: 'policy', policy: {
+			version: 1, routes: [route('view', true), route('book', false)], services: new Map([['racks', {name: 'racks', maximumConnections: 9}]]),
+			limits: {
+				maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1,
+			},
+		},
+	}
+	: {type: 'instance', instance: instance(key)};
+
+function instance(name: string): TargetInstance {
+	return {
+		name, service: 'racks', address: {host: `host-${name}`, port: 80}, failureDomain: 'a', slots: 4, state: 'ready', startedAtUnixMilliseconds: 0, coldMilliseconds: 0,
+	};
+}
+
+beforeEach(() => {
+	clock = new FakeClock();
+	sent = [];
+	slack = 100;
+	build(['one', 'two', 'three']);
+});
+
+function build(instances: string[]): void {
+	const records = new FleetRecords(decode, () => clock.now());
+	for (const [index, key] of ['policy', ...instances].entries()) {
+		records.apply({key, revision: index + 1, value: '{}'}, 'service');
+	}
+
+	const profile = new CallProfile();
+	const links = {
+		isUnreachable: () => false,
+		handOver(address: {host: string}, request: HandOver, settle: (outcome: RunOutcome) => void) {
+			const entry: Sent = {host: address.host, request, settle, cancelled: false};
+			sent.push(entry);
+			return () => {
+				entry.cancelled = true;
+			};
+		},
+	};
+	flows = new RequestFlows({
+		service: 'entry', targetAddress: {host: 'own', port: 80}, peerPort: 1, headers, records, profile, clock,
+		placement: new Placement('a', clock, () => 0.5), parentOfCall: () => undefined,
+		budget: new RetryBudget({
+			ratio: 0.2, slack, windowMilliseconds: 10_000, nodes: () => 1, clock,
+		}),
+		admission: new RootAdmission(() => 0.5), links: links as unknown as PeerLinks,
+		runner: new TargetRunner({
+			address: {host: 'own', port: 80}, slots: 1, headers, profile, clock,
+		}),
+		log: new DecisionLog({}, clock, (_text, done) => {
+			done(null);
+		}),
+		metrics: new SidecarMetrics(), random: () => 0.5,
+	});
+}
+
+function ask(path: string): {answers: EntryAnswer[]; leave: () => void} {
+	const answers: EntryAnswer[] = [];
+	const leave = flows.handle({
+		method: 'GET', host: 'shop', path, headers: ['X-Attempt', 'a1'], body: undefined, attempt: 'a1', limitMilliseconds: 5000, receivedAt: clock.now(),
+	}, answer => {
+		answers.push(answer);
+	});
+	return {answers, leave};
+}
+
+const answered = (status: number): RunOutcome => ({
+	result: 'answered', status, headers: ['X-Signature', 's'], body: Buffer.from('body'),
+});
+const notRun = (reachedTarget: boolean, reason = 'overloaded'): RunOutcome => ({
+	result: 'not-run', reason, reachedTarget, roomInMilliseconds: 200,
+});
+const lost: RunOutcome = {result: 'may-have-run', reason: 'link-lost'};
+
+describe('the final status after the outcomes of the instances asked', () => {
+	it.each<[string, string, RunOutcome[], number, number]>([
+		['an answer', '/book/', [answered(200)], 200, 1],
+		['a failure of the target, not repeatable', '/book/', [answered(500)], 500, 1],
+		['a failure of the target, then an answer', '/view/', [answered(500), answered(200)], 200, 2],
+		['two failures of targets', '/view/', [answered(500), answered(500)], 500, 2],
+		['lost, not repeatable', '/book/', [lost], 502, 1],
+		['lost, then an answer', '/view/', [lost, answered(200)], 200, 2],
+		['lost, then refused by the target', '/view/', [lost, notRun(true)], 502, 2],
+		['refused by a target, then an answer', '/book/', [notRun(true), answered(200)], 200, 2],
+		['refused by two targets', '/book/', [notRun(true), notRun(true)], 503, 2],
+		['refused by a target, then lost', '/book/', [notRun(true), lost], 502, 2],
+		['refused by a queue, then an answer', '/book/', [notRun(false), answered(200)], 200, 2],
+		['refused by all queues asked', '/book/', [notRun(false), notRun(false), notRun(false)], 503, 3],
+	])('%s', (_name, path, outcomes, status, asked) => {
+		const {answers} = ask(path);
+		for (const outcome of outcomes) {
+			sent.at(-1)!.settle(outcome);
+		}
+
+		expect(answers.map(answer => answer.status)).toEqual([status]);
+		expect(sent).toHaveLength(asked);
+		expect(new Set(sent.map(({host}) => host)).size).toBe(asked);
+	});
+});
+
+it('a refusal names when to come back', () => {
+	const {answers} = ask('/book/');
+	sent[0]!.settle(notRun(true));
+	sent[1]!.settle(notRun(true));
+	const list = answers[0]!.headers;
+	expect(Number(list[list.indexOf('Retry-After') + 1])).toBeGreaterThan(0);
+});
+
+it('a request without an answer gets its final answer at the timeout of the route, and its work is ended', () => {
+	const {answers} = ask('/book/');
+	clock.advance(999);
+	expect(answers).toEqual([]);
+	clock.advance(2);
+	expect(answers[0]!.status).toBe(504);
+	expect(sent[0]!.cancelled).toBe(true);
+	sent[0]!.settle(answered(200));
+	expect(answers).toHaveLength(1);
+});
+
+it('work of a caller that left is ended and not repeated', () => {
+	const {answers, leave} = ask('/view/');
+	leave();
+	sent[0]!.settle(lost);
+	expect({cancelled: sent[0]!.cancelled, sent: sent.length, answers: answers.length}).toEqual({cancelled: true, sent: 1, answers: 0});
+});
+
+it('repeats end with the budget', () => {
+	slack = 0;
+	build(['one', 'two']);
+	const {answers} = ask('/view/');
+	sent[0]!.settle(answered(500));
+	expect({sent: sent.length, status: answers[0]!.status}).toEqual({sent: 1, status: 500});
+});
+
+it('without an instance the request is refused and did not run', () => {
+	build([]);
+	expect(ask('/book/').answers[0]!.status).toBe(503);
+});
