--- /dev/null
+++ b/packages/sidecar/src/lib/root-admission.test.ts
@@ -0,0 +1,113 @@
+/**
+ * Admission at the entry, played against a model of a deep service: requests of three ranks need calls of one service that
+ * can't do them all. Levels follow reports that are as old as those of peers.
+ */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {describe, expect, it} from 'vitest';
+import {RootAdmission, rootAdmissionOptions} from './root-admission.js';
+
+/** Requests per second and calls of the deep service per request, by rank. */
+type Load = {perSecond: number; calls: number};
+
+/** Shaped like the first site's load on its deepest service, at twice its usual rate. */
+const doubled: Load[] = [{perSecond: 180, calls: 8}, {perSecond: 200, calls: 1}, {perSecond: 510, calls: 4}];
+const usual: Load[] = doubled.map(({perSecond, calls}) => ({perSecond: perSecond / 2, calls}));
+
+const slots = 182;
+const callMilliseconds = 55;
+const stepMilliseconds = 10;
+const reportMilliseconds = 1000;
+/** Time between the entry of a request and its calls. */
+const delayMilliseconds = 250;
+
+type Result = {asked: number; admitted: number};
+
+function play(loads: Load[], seconds: number) {
+	const generator = xoroshiro128plus(42);
+	const random = () => uniformFloat64(generator);
+	const admission = new RootAdmission(random);
+	admission.setRanks(loads.keys());
+	const results: Result[] = loads.map(() => ({asked: 0, admitted: 0}));
+	const arriving = new Map<number, number>();
+	let work = 0;
+	let done = 0;
+	let report = {active: 0, waiting: 0, limit: slots};
+	let longestQueue = 0;
+	for (let now = 0; now < seconds * 1000; now += stepMilliseconds) {
+		for (const [rank, {perSecond, calls}] of loads.entries()) {
+			const expected = perSecond * stepMilliseconds / 1000;
+			const count = Math.floor(expected + random());
+			for (let index = 0; index < count; index += 1) {
+				results[rank]!.asked += 1;
+				if (admission.refusingService(rank, ['deep']) === undefined) {
+					results[rank]!.admitted += 1;
+					const at = now + delayMilliseconds;
+					arriving.set(at, (arriving.get(at) ?? 0) + calls);
+				}
+			}
+		}
+
+		work += arriving.get(now) ?? 0;
+		const finished = Math.min(work, slots) * stepMilliseconds / callMilliseconds;
+		work -= finished;
+		done += finished;
+		longestQueue = now > seconds * 500 ? Math.max(longestQueue, work - slots) : 0;
+		if (now % reportMilliseconds === 0) {
+			report = {active: Math.min(work, slots), waiting: Math.max(0, work - slots), limit: slots};
+		}
+
+		if (now % 100 === 0) {
+			admission.update(now, new Map([['deep', report]]));
+		}
+	}
+
+	const capacity = seconds * 1000 * slots / callMilliseconds;
+	return {shares: results.map(({asked, admitted}) => admitted / asked), used: done / capacity, longestQueue};
+}
+
+describe('under twice the usual load', () => {
+	const {shares, used, longestQueue} = play(doubled, 30);
+
+	it('the least urgent rank is refused and the others are not', () => {
+		expect(shares[0]).toBeGreaterThan(0.99);
+		expect(shares[1]).toBeGreaterThan(0.98);
+		expect(shares[2]).toBeLessThan(0.9);
+	});
+
+	it('the deep service stays in use', () => {
+		expect(used).toBeGreaterThan(0.85);
+	});
+
+	it('its queue stays short in the second half', () => {
+		expect(longestQueue * callMilliseconds / slots).toBeLessThan(300);
+	});
+});
+
+it('under the usual load nothing is refused', () => {
+	expect(play(usual, 20).shares).toEqual([1, 1, 1]);
+});
+
+it('the next rank is refused only once the least urgent one gets nothing', () => {
+	const admission = new RootAdmission(() => 0.5);
+	admission.setRanks([0, 1, 2]);
+	for (let now = 0; now <= 10_000; now += 100) {
+		admission.update(now, new Map([['deep', {active: 100, waiting: 100, limit: 100}]]));
+		if (admission.refusingService(1, ['deep']) !== undefined) {
+			expect(admission.refusingService(2, ['deep'])).toBe('deep');
+		}
+	}
+
+	expect(admission.levelOf('deep')).toBeLessThanOrEqual(3 + rootAdmissionOptions.proportional);
+	expect(admission.refusingService(2, ['other'])).toBeUndefined();
+});
+
+it('a service that is no longer reported refuses nothing', () => {
+	const admission = new RootAdmission(() => 0);
+	admission.setRanks([0]);
+	admission.update(0, new Map([['deep', {active: 9, waiting: 9, limit: 9}]]));
+	admission.update(400, new Map([['deep', {active: 9, waiting: 9, limit: 9}]]));
+	expect(admission.refusingService(0, ['deep'])).toBe('deep');
+	admission.update(500, new Map());
+	expect(admission.refusingService(0, ['deep'])).toBeUndefined();
+});
