--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -15,9 +15,9 @@
 export type EntryListenerOptions = {
 	address: Address;
 	headers: {attempt: string; remainingTime: string};
+	clock: Clock;
 	limits(): CallerLimits | undefined;
 	handle(request: EntryRequest, respond: (answer: EntryAnswer) => void): () => void;
-	clock: Clock;
 };
 
 /** @public */
--- a/packages/sidecar/src/lib/fleet-records.test.ts
+++ b/packages/sidecar/src/lib/fleet-records.test.ts
@@ -1,7 +1,9 @@
 /**
  * What the node believes of the published records, in the orders and outages in which they arrive.
  */
-import {beforeEach, describe, expect, it} from 'vitest';
+import {
+	beforeEach, describe, expect, it,
+} from 'vitest';
 import type {DecodedRecord, RoutingPolicy, TargetInstance} from './fleet-model.js';
 import {FleetRecords} from './fleet-records.js';
 
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -9,7 +9,6 @@
 import type {StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
 
-
 /** @public */
 export const LinkMessageType = {
 	handOver: 1,
--- a/packages/sidecar/src/lib/message-headers.ts
+++ b/packages/sidecar/src/lib/message-headers.ts
@@ -7,8 +7,15 @@
 
 /** Headers that concern one connection only and are never passed on (RFC 9110, section 7.6.1). */
 const connectionHeaders = new Set([
-	'connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer',
-	'transfer-encoding', 'upgrade',
+	'connection',
+	'keep-alive',
+	'proxy-connection',
+	'proxy-authenticate',
+	'proxy-authorization',
+	'te',
+	'trailer',
+	'transfer-encoding',
+	'upgrade',
 ]);
 
 /** Returns the first value of a header; the name is given in lower case. */
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -2,7 +2,7 @@
  * Links to other nodes: one WebSocket per pair and direction of hand-over, with messages batched per turn of the event
  * loop. A link that owes an answer and stays silent is closed, because a cut or a machine without power closes nothing.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {LinkClock} from '@hemlockthread/wire';
 import {WebSocket, WebSocketServer} from 'ws';
 import type {CallsByRoute} from './call-profile.js';
@@ -133,7 +133,7 @@
 
 	/** Asks a few peers for their records, while the configuration service does not answer. */
 	requestRecords(): void {
-		const [link] = [...this.dialled.values()].filter(candidate => candidate.isOpen);
+		const link = [...this.dialled.values()].find(candidate => candidate.isOpen);
 		link?.requestRecords();
 	}
 
@@ -360,9 +360,11 @@
 		const pending = [...this.pending.values()];
 		this.pending.clear();
 		for (const {settle} of pending) {
-			settle(wasOpen ? lost : {
-				result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
-			});
+			settle(wasOpen
+				? lost
+				: {
+					result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
+				});
 		}
 	}
 
--- a/packages/sidecar/src/lib/placement.ts
+++ b/packages/sidecar/src/lib/placement.ts
@@ -13,6 +13,9 @@
 export const placementOptions = {
 	/** Use of the slots up to which an instance counts as free. */
 	busyShare: 0.75,
+	/** Extra cost of use beyond that, and of all use, as shares of the expected time for each whole use. */
+	crowdingCost: 4,
+	useCost: 0.2,
 	/** Extra cost of another failure domain, as a share of the expected time. */
 	otherDomainShare: 0.6,
 	/** Time assumed per request before the first report. */
@@ -147,7 +150,8 @@
 		const trust = load === undefined ? 0 : 0.5 ** (age / placementOptions.reportHalfLifeMilliseconds);
 		const reported = load === undefined ? 0 : (load.active + load.waiting) * trust;
 		const use = Math.max(reported, state.inProgress) / limit;
-		let cost = mean * (1 + Math.max(0, use - placementOptions.busyShare) * 4 + (use * 0.2));
+		const crowding = Math.max(0, use - placementOptions.busyShare) * placementOptions.crowdingCost;
+		let cost = mean * (1 + crowding + (use * placementOptions.useCost));
 		cost /= Math.max(placementOptions.minimumSuccessShare, this.forgiven(state, now) * (load?.successShare ?? 1)) ** 2;
 		if (instance.failureDomain !== this.ownDomain) {
 			cost += mean * placementOptions.otherDomainShare;
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -19,7 +19,7 @@
 import {SidecarMetrics} from './sidecar-metrics.js';
 import {TargetRunner} from './target-runner.js';
 
-type Sent = {host: string; request: HandOver; settle(outcome: RunOutcome): void; cancelled: boolean};
+type Sent = {host: string; request: HandOver; cancelled: boolean; settle(outcome: RunOutcome): void};
 
 let clock: FakeClock;
 let flows: RequestFlows;
@@ -69,7 +69,9 @@
 	const links = {
 		isUnreachable: () => false,
 		handOver(address: {host: string}, request: HandOver, settle: (outcome: RunOutcome) => void) {
-			const entry: Sent = {host: address.host, request, settle, cancelled: false};
+			const entry: Sent = {
+				host: address.host, request, settle, cancelled: false,
+			};
 			sent.push(entry);
 			return () => {
 				entry.cancelled = true;
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -122,7 +122,7 @@
 			this.parts.admission.setRanks(policy.routes.map(({rank}) => rank));
 		}
 
-		const route = this.table.find(request.host, request.path);
+		const route = this.table.match(request.host, request.path);
 		if (route === undefined) {
 			respond(ownAnswer(404, 'unknown-route'));
 			metrics.countRequest('none', 'rejected', 'unknown-route');
@@ -175,6 +175,13 @@
 		return work;
 	}
 
+	refusal(reason: string, retryAfterMilliseconds: number): EntryAnswer {
+		const spread = retryAfterMilliseconds * (0.75 + (this.parts.random() * 0.5));
+		const seconds = Math.max(requestFlowOptions.minimumRetryAfterMilliseconds, spread) / 1000;
+		const answer = ownAnswer(503, reason);
+		return {...answer, headers: [...answer.headers, 'Retry-After', seconds.toFixed(2)]};
+	}
+
 	private refuseAtRoot(request: EntryRequest, route: Route, cause: string, respond: (answer: EntryAnswer) => void): void {
 		const {admission, log, metrics} = this.parts;
 		respond(this.refusal('overloaded-below', requestFlowOptions.rootRetryAfterMilliseconds));
@@ -184,13 +191,6 @@
 			level: Math.round(100 * admission.levelOf(cause)) / 100,
 		});
 	}
-
-	refusal(reason: string, retryAfterMilliseconds: number): EntryAnswer {
-		const spread = retryAfterMilliseconds * (0.75 + (this.parts.random() * 0.5));
-		const seconds = Math.max(requestFlowOptions.minimumRetryAfterMilliseconds, spread) / 1000;
-		const answer = ownAnswer(503, reason);
-		return {...answer, headers: [...answer.headers, 'Retry-After', seconds.toFixed(2)]};
-	}
 }
 
 class RequestFlow {
--- a/packages/sidecar/src/lib/retry-budget.ts
+++ b/packages/sidecar/src/lib/retry-budget.ts
@@ -15,9 +15,9 @@
 	/** Repeats of the whole fleet in one window on top of the ratio. */
 	slack: number;
 	windowMilliseconds: number;
+	clock: Clock;
 	/** Number of nodes among which the slack is divided. */
 	nodes(): number;
-	clock: Clock;
 };
 
 /** Buckets of one window. Windows of the bound slide, so a bucket more than the window is counted. */
@@ -42,7 +42,7 @@
 	noteRequest(service: string): void {
 		this.advance();
 		const {requests} = this.bucketsOf(service);
-		requests[requests.length - 1]! += 1;
+		requests[bucketsPerWindow]! += 1;
 	}
 
 	/** Takes a repeat with all arrivals that it causes, by service; false where that would exceed the share of this node. */
@@ -56,7 +56,7 @@
 
 		for (const [name, count] of work) {
 			const {repeats} = this.bucketsOf(name);
-			repeats[repeats.length - 1]! += count;
+			repeats[bucketsPerWindow]! += count;
 		}
 
 		return true;
--- a/packages/sidecar/src/lib/route-table.ts
+++ b/packages/sidecar/src/lib/route-table.ts
@@ -29,7 +29,7 @@
 	}
 
 	/** Returns the route with the longest prefix of the path among those of the host. */
-	find(host: string, path: string): Route | undefined {
+	match(host: string, path: string): Route | undefined {
 		return this.byHost.get(withoutPort(host.toLowerCase()))?.find(route => path.startsWith(route.pathPrefix));
 	}
 
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -1,10 +1,10 @@
 /**
  * Builds the parts of one node, starts its listeners and stops them in order.
  */
-import 'reflect-metadata';
 import {randomInt} from 'node:crypto';
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
+import 'reflect-metadata';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {container as rootContainer, type DependencyContainer} from 'tsyringe';
@@ -68,8 +68,8 @@
 	headers: HeaderNames;
 	decode: RecordDecoder;
 	parentOfCall: ParentOfCall;
-	createSource(metrics: SidecarMetrics): RecordSource;
 	clock?: Clock;
+	createSource(metrics: SidecarMetrics): RecordSource;
 };
 
 /** @public */
@@ -226,7 +226,9 @@
 	}
 
 	dump(): unknown {
-		return {records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), admission: this.admission.dump(), load: this.runner.load};
+		return {
+			records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), admission: this.admission.dump(), load: this.runner.load,
+		};
 	}
 
 	private isBusy(): boolean {
@@ -375,10 +377,14 @@
 		address: Address,
 		answer: (path: string) => {status: number; body: string} | undefined | Promise<{status: number; body: string} | undefined>,
 	): Promise<void> {
-		const server = createServer(async (request, response) => {
-			const {status, body} = await answer((request.url ?? '').split('?', 1)[0]!) ?? {status: 404, body: ''};
+		const respond = async (url: string, response: ServerResponse) => {
+			const {status, body} = await answer(url.split('?', 1)[0]!) ?? {status: 404, body: ''};
 			response.writeHead(status, {'content-type': 'text/plain'});
 			response.end(body);
+		};
+
+		const server = createServer((request, response) => {
+			void respond(request.url ?? '', response);
 		});
 		this.servers.push(server);
 		await new Promise<void>((resolve, reject) => {
--- a/packages/sidecar/src/lib/target-connection.test.ts
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -3,7 +3,9 @@
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {
+	createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	afterEach, beforeEach, describe, expect, it,
@@ -11,7 +13,7 @@
 import {processClock} from './clock.js';
 import {TargetConnections, type TargetOutcome} from './target-connection.js';
 
-type Script = (socket: Socket, attempt: string, connection: number) => void;
+type Script = (socket: Socket, attempt: string, connection: number) => unknown;
 
 let server: Server;
 let script: Script;
@@ -60,18 +62,29 @@
 }
 
 const answer = (attempt: string, body: string, rest = '') => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nContent-Length: ${body.length}\r\n${rest}\r\n${body}`;
+const typeOf = async (attempt: string) => {
+	const {type} = await send(attempt);
+	return type;
+};
+
 const bodyOf = (outcome: TargetOutcome) => outcome.type === 'answered' ? outcome.answer.body.toString() : outcome.type;
 
 describe('a whole answer', () => {
 	it('keeps its connection for the next request', async () => {
-		script = (socket, attempt) => socket.write(answer(attempt, `for ${attempt}`));
+		script = (socket, attempt) => {
+			socket.write(answer(attempt, `for ${attempt}`));
+		};
+
 		expect(bodyOf(await send('a1'))).toBe('for a1');
 		expect(bodyOf(await send('a2'))).toBe('for a2');
 		expect(opened).toBe(1);
 	});
 
 	it('with `Connection: close` ends its connection', async () => {
-		script = (socket, attempt) => socket.write(answer(attempt, 'x', 'Connection: close\r\n'));
+		script = (socket, attempt) => {
+			socket.write(answer(attempt, 'x', 'Connection: close\r\n'));
+		};
+
 		await send('a1');
 		await send('a2');
 		expect(opened).toBe(2);
@@ -89,17 +102,26 @@
 	});
 
 	it('in chunks is put together', async () => {
-		script = (socket, attempt) => socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n`);
+		script = (socket, attempt) => {
+			socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n`);
+		};
+
 		expect(bodyOf(await send('a1'))).toBe('abcde');
 	});
 
 	it('without a length ends with its connection', async () => {
-		script = (socket, attempt) => socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
+		script = (socket, attempt) => {
+			socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
+		};
+
 		expect(bodyOf(await send('a1'))).toBe('abc');
 	});
 
 	it('after an interim answer is the final one', async () => {
-		script = (socket, attempt) => socket.write(`HTTP/1.1 102 Processing\r\n\r\n${answer(attempt, 'final')}`);
+		script = (socket, attempt) => {
+			socket.write(`HTTP/1.1 102 Processing\r\n\r\n${answer(attempt, 'final')}`);
+		};
+
 		expect(bodyOf(await send('a1'))).toBe('final');
 	});
 });
@@ -114,8 +136,11 @@
 		['that is no HTTP', () => '\u0000\u0001 not an answer\r\n\r\n'],
 		['of no bytes', () => ''],
 	])('%s', async (_name, bytes) => {
-		script = (socket, attempt) => socket.end(Buffer.from(bytes(attempt), 'latin1'));
-		expect((await send('a1')).type).toBe('lost');
+		script = (socket, attempt) => {
+			socket.end(Buffer.from(bytes(attempt), 'latin1'));
+		};
+
+		expect(await typeOf('a1')).toBe('lost');
 	});
 
 	it('without a length and reset', async () => {
@@ -125,13 +150,16 @@
 			socket.resetAndDestroy();
 		};
 
-		expect((await send('a1')).type).toBe('lost');
+		expect(await typeOf('a1')).toBe('lost');
 	});
 });
 
 describe('an answer too many', () => {
 	it('in the same packet goes to nobody', async () => {
-		script = (socket, attempt) => socket.write(answer(attempt, `for ${attempt}`).repeat(2));
+		script = (socket, attempt) => {
+			socket.write(answer(attempt, `for ${attempt}`).repeat(2));
+		};
+
 		expect(bodyOf(await send('a1'))).toBe('for a1');
 		expect(bodyOf(await send('a2'))).toBe('for a2');
 	});
@@ -164,10 +192,10 @@
 
 describe('a request that was not written is unsent', () => {
 	it('to a port without a listener', async () => {
-		const port = (server.address() as AddressInfo).port;
+		const {port} = (server.address() as AddressInfo);
 		server.close();
 		connections = new TargetConnections({address: {host: '127.0.0.1', port: port === 1 ? 2 : 1}, clock: processClock, attemptHeader: 'x-attempt'});
-		expect((await send('a1')).type).toBe('unsent');
+		expect(await typeOf('a1')).toBe('unsent');
 	});
 });
 
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -55,21 +55,27 @@
 /** Ends the request at the target. @public */
 export type CancelRequest = () => void;
 
-const kOnHeadersComplete = HTTPParser.kOnHeadersComplete as 2;
-const kOnBody = HTTPParser.kOnBody as 3;
-const kOnMessageComplete = HTTPParser.kOnMessageComplete as 4;
+const {kOnHeadersComplete} = HTTPParser;
+const {kOnBody} = HTTPParser;
+const {kOnMessageComplete} = HTTPParser;
 HTTPParser.encoding = 'latin1';
 const digits = /^\d{1,15}$/v;
 const chunkSize = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/iv;
 
-type ParserState = {offset: number; end: number; consumeLine(): string | undefined; state: string; body_bytes: number};
+type ParserState = {
+	offset: number;
+	end: number;
+	state: string;
+	body_bytes: number;
+	consumeLine(): string | undefined;
+};
 type AnswerInfo = {statusCode: number; headers: string[]; shouldKeepAlive: boolean};
 
 class StrictParser extends HTTPParser {}
 
 // The library declares its parsing steps as private. It takes a malformed chunk size as the end of the body, which would
 // make a cut answer look whole.
-(StrictParser.prototype as unknown as {BODY_CHUNKHEAD(this: ParserState): void}).BODY_CHUNKHEAD = function () {
+(StrictParser.prototype as unknown as {BODY_CHUNKHEAD: (this: ParserState) => void}).BODY_CHUNKHEAD = function () {
 	const line = this.consumeLine();
 	if (line === undefined) {
 		return;
@@ -201,7 +207,7 @@
 			this.fail('connection closed');
 		});
 		this.parser[kOnHeadersComplete] = info => {
-			this.info = info as unknown as AnswerInfo;
+			this.info = info;
 			const length = headerValue(this.info.headers, 'content-length');
 			if (length !== undefined && !digits.test(length)) {
 				throw new Error('malformed content-length');
@@ -278,7 +284,7 @@
 
 		let result: number | Error;
 		try {
-			result = this.parser.execute(bytes) as number | Error;
+			result = this.parser.execute(bytes);
 		} catch (error) {
 			result = error as Error;
 		}
--- a/packages/sidecar/src/lib/target-queue.test.ts
+++ b/packages/sidecar/src/lib/target-queue.test.ts
@@ -24,7 +24,9 @@
 			outcomes.push({name, result: 'refused', at: clock.now()});
 		},
 	});
-	return {clock, queue, outcomes, offer};
+	return {
+		clock, queue, outcomes, offer,
+	};
 }
 
 describe('the queue', () => {
--- a/packages/sidecar/src/lib/target-queue.ts
+++ b/packages/sidecar/src/lib/target-queue.ts
@@ -47,7 +47,7 @@
 	private limit: number;
 	private slots: number;
 	private mean: number = targetQueueOptions.firstMeanMilliseconds;
-	private cancelSweep: (() => void) | undefined;
+	private isSweepScheduled = false;
 
 	constructor(slots: number, private readonly clock: Clock) {
 		this.slots = slots;
@@ -136,7 +136,7 @@
 		let low = 0;
 		let high = this.waiting.length;
 		while (low < high) {
-			const middle = (low + high) >>> 1;
+			const middle = Math.floor((low + high) / 2);
 			if (this.waiting[middle]!.rank <= rank) {
 				low = middle + 1;
 			} else {
@@ -148,8 +148,13 @@
 	}
 
 	private scheduleSweep(): void {
-		this.cancelSweep ??= this.clock.after(targetQueueOptions.sweepMilliseconds, () => {
-			this.cancelSweep = undefined;
+		if (this.isSweepScheduled) {
+			return;
+		}
+
+		this.isSweepScheduled = true;
+		this.clock.after(targetQueueOptions.sweepMilliseconds, () => {
+			this.isSweepScheduled = false;
 			this.sweep();
 			if (this.waiting.length > 0) {
 				this.scheduleSweep();
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -125,12 +125,15 @@
 	}
 
 	private requestOf(work: TargetWork, now: number) {
-		const headers = [...work.headers];
-		headers.push(
-			this.headers.remainingTime, String(Math.max(1, Math.floor(work.deadlineAt - now))),
-			this.headers.expectedInstance, work.instance,
-			this.headers.callerService, work.callerService,
-		);
+		const headers = [
+			...work.headers,
+			this.headers.remainingTime,
+			String(Math.max(1, Math.floor(work.deadlineAt - now))),
+			this.headers.expectedInstance,
+			work.instance,
+			this.headers.callerService,
+			work.callerService,
+		];
 		return {
 			method: work.method, path: work.path, headers, attempt: work.attempt,
 			body: work.body === undefined ? undefined : Buffer.from(work.body.buffer, work.body.byteOffset, work.body.byteLength),
