Pass answers without a length on without one

Change: the outcome says that only the connection ended the body; the entry then sends no length and closes.

--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -140,12 +140,15 @@
 
 	private respond(response: ServerResponse, answer: EntryAnswer): void {
 		const headers = passedHeaders(answer.headers, noneReplaced);
-		if (this.leaving) {
+		const isUnframed = answer.unframed === true;
+		if (this.leaving || isUnframed) {
 			headers.push('Connection', 'close');
 		}
 
 		const length = answer.body?.length ?? 0;
-		if (answer.status !== 204 && answer.status !== 304) {
+		if (isUnframed) {
+			response.useChunkedEncodingByDefault = false;
+		} else if (answer.status !== 204 && answer.status !== 304) {
 			headers.push('Content-Length', response.req.method === 'HEAD' ? headerValue(answer.headers, 'content-length') ?? '0' : String(length));
 		}
 
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -67,7 +67,7 @@
 
 /** @public */
 export type RunOutcome
-	= | {result: typeof RunResult.answered; status: number; headers: readonly string[]; body: Uint8Array}
+	= | {result: typeof RunResult.answered; status: number; headers: readonly string[]; body: Uint8Array; unframed: boolean}
 		| {result: typeof RunResult.notRun; reason: string; reachedTarget: boolean; roomInMilliseconds: number}
 		| {result: typeof RunResult.mayHaveRun; reason: string};
 
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -106,7 +106,7 @@
 }
 
 const answered = (status: number): RunOutcome => ({
-	result: 'answered', status, headers: ['X-Signature', 's'], body: Buffer.from('body'),
+	result: 'answered', status, headers: ['X-Signature', 's'], body: Buffer.from('body'), unframed: false,
 });
 const notRun = (reachedTarget: boolean, reason = 'overloaded'): RunOutcome => ({
 	result: 'not-run', reason, reachedTarget, roomInMilliseconds: 200,
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -59,7 +59,13 @@
 };
 
 /** @public */
-export type EntryAnswer = {status: number; headers: HeaderList; body: Uint8Array | undefined};
+export type EntryAnswer = {
+	status: number;
+	headers: HeaderList;
+	body: Uint8Array | undefined;
+	/** True where the target gave the body no length: it is passed on without one, so that a cut body never looks whole. */
+	unframed?: boolean;
+};
 
 /** @public */
 export type RequestFlowParts = {
@@ -320,7 +326,10 @@
 
 	private receiveAnswer(outcome: Extract<RunOutcome, {result: 'answered'}>): void {
 		this.arrivals += 1;
-		const answer: EntryAnswer = {status: outcome.status, headers: outcome.headers, body: outcome.body};
+		const {status, headers, body, unframed} = outcome;
+		const answer: EntryAnswer = {
+			status, headers, body, unframed,
+		};
 		if (outcome.status >= 500) {
 			this.mayHaveRun = true;
 			this.lastReason = `target-answered-${outcome.status}`;
--- a/packages/sidecar/src/lib/target-connection.test.ts
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -114,7 +114,9 @@
 			socket.end(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
 		};
 
-		expect(bodyOf(await send('a1'))).toBe('abc');
+		const outcome = await send('a1');
+		expect(outcome).toMatchObject({type: 'answered', answer: {unframed: true}});
+		expect(bodyOf(outcome)).toBe('abc');
 	});
 
 	it('after an interim answer is the final one', async () => {
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -36,7 +36,13 @@
 };
 
 /** @public */
-export type TargetAnswer = {status: number; headers: HeaderList; body: Buffer};
+export type TargetAnswer = {
+	status: number;
+	headers: HeaderList;
+	body: Buffer;
+	/** True where only the end of the connection marked the end of the body, so that nobody can tell a cut body from a whole one. */
+	unframed: boolean;
+};
 
 /**
  * How a request ended at the target.
@@ -176,6 +182,7 @@
 	private written = false;
 	/** True once this connection must not carry another request. */
 	private spoilt = false;
+	private endedByConnection = false;
 	private info: AnswerInfo | undefined;
 	private chunks: Buffer[] = [];
 	private receivedBytes = 0;
@@ -298,6 +305,7 @@
 		if (this.exchange !== undefined && this.info !== undefined) {
 			// An answer without a length ends with its connection.
 			this.spoilt = true;
+			this.endedByConnection = true;
 			this.parser.finish();
 		}
 
@@ -328,7 +336,9 @@
 
 		this.exchange = undefined;
 		this.rest(info);
-		exchange.settle({type: 'answered', answer: {status: info.statusCode, headers: info.headers, body}});
+		exchange.settle({type: 'answered', answer: {
+			status: info.statusCode, headers: info.headers, body, unframed: this.endedByConnection,
+		}});
 	}
 
 	/** Keeps the connection for the next request, or closes it. */
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -153,7 +153,7 @@
 			return {result: RunResult.mayHaveRun, reason: `target-lost: ${outcome.cause}`};
 		}
 
-		const {status, headers, body} = outcome.answer;
+		const {status, headers, body, unframed} = outcome.answer;
 		if (status === misdirectedStatus || headerValue(headers, this.headers.notRun) !== undefined) {
 			this.noteOutcome(0);
 			return {
@@ -170,7 +170,7 @@
 
 		this.noteOutcome(status < 500 ? 1 : 0);
 		return {
-			result: RunResult.answered, status, headers, body,
+			result: RunResult.answered, status, headers, body, unframed,
 		};
 	}
 
