--- /dev/null
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -0,0 +1,160 @@
+/**
+ * Links between nodes over loopback, with a relay in between that can go silent.
+ */
+import {once} from 'node:events';
+import {
+	connect, createServer, type AddressInfo, type Server, type Socket,
+} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {processClock} from './clock.js';
+import type {LoadReport, RunOutcome} from './link-messages.js';
+import {
+	PeerLinks, peerLinkOptions, type HandOver, type PeerEvents,
+} from './peer-links.js';
+
+const load: LoadReport = {
+	active: 1, waiting: 0, limit: 4, meanMilliseconds: 10, successShare: 1,
+};
+
+const request: HandOver = {
+	instance: 'i-1', route: 'view', callerService: 'racks', attempt: 'a1', rank: 1, remainingMilliseconds: 3000, usefulMilliseconds: 1000,
+	method: 'GET', path: '/view/', headers: [], body: undefined,
+};
+
+type Side = {links: PeerLinks; received: HandOver[]; ages: number[]; cancelled: string[]; leaving: boolean; answer?: RunOutcome};
+
+const host = '127.0.0.1';
+let near: Side;
+let far: Side;
+let relay: Server;
+let silent = false;
+const sockets = new Set<Socket>();
+
+/** Passes bytes on, unless the relay is silent. */
+function pass(from: Socket, to: Socket): void {
+	sockets.add(from);
+	from.on('error', () => undefined);
+	from.on('data', bytes => {
+		if (!silent) {
+			to.write(bytes);
+		}
+	});
+	from.on('close', () => {
+		to.destroy();
+	});
+}
+
+function createSide(): Side {
+	const side: Side = {
+		links: undefined as unknown as PeerLinks, received: [], ages: [], cancelled: [], leaving: false,
+	};
+	const events: PeerEvents = {
+		onHandOver(handOver, age, answer) {
+			side.received.push(handOver);
+			side.ages.push(age);
+			if (side.answer !== undefined) {
+				answer(side.answer, load);
+			}
+
+			return () => {
+				side.cancelled.push(handOver.attempt);
+			};
+		},
+		onLoad: () => undefined, onCalls: () => undefined, onRecords: () => undefined, onLinkChange: () => undefined,
+	};
+	side.links = new PeerLinks({
+		isLeaving: () => side.leaving, revisions: () => ({policyVersion: 1, fleetRevision: 1}), load: () => load, calls: () => ({}), records: () => [],
+	}, events, processClock);
+	return side;
+}
+
+let address = {host, port: 0};
+
+beforeEach(async () => {
+	silent = false;
+	near = createSide();
+	far = createSide();
+	const free = createServer().listen(0, host);
+	await once(free, 'listening');
+	const {port} = free.address() as AddressInfo;
+	free.close();
+	await far.links.listen({host, port});
+	await near.links.listen({host, port: 0});
+	relay = createServer(client => {
+		const server = connect(port, host);
+		pass(client, server);
+		pass(server, client);
+	}).listen(0, host);
+	await once(relay, 'listening');
+	address = {host, port: (relay.address() as AddressInfo).port};
+	near.links.ensure(address);
+	await delay(100);
+});
+
+afterEach(() => {
+	near.links.close();
+	far.links.close();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	relay.close();
+});
+
+async function handOver(): Promise<RunOutcome> {
+	return new Promise(resolve => {
+		near.links.handOver(address, request, resolve);
+	});
+}
+
+describe('a hand-over', () => {
+	it('arrives with a small age and returns its outcome', async () => {
+		far.answer = {
+			result: 'not-run', reason: 'overloaded', reachedTarget: false, roomInMilliseconds: 5,
+		};
+		expect(await handOver()).toEqual(far.answer);
+		expect(far.received[0]).toMatchObject(request);
+		expect(far.ages[0]).toBeLessThan(50);
+	});
+
+	it('that is cancelled ends at the peer', async () => {
+		const cancel = near.links.handOver(address, request, () => undefined);
+		await delay(50);
+		cancel();
+		await delay(50);
+		expect(far.cancelled).toEqual(['a1']);
+	});
+
+	it('to a port without a listener did not run', async () => {
+		const outcome = await new Promise<RunOutcome>(resolve => {
+			near.links.handOver({host, port: 1}, request, resolve);
+		});
+		expect(outcome.result).toBe('not-run');
+	});
+});
+
+describe('a peer that goes silent', () => {
+	it('gets no new requests soon, and what it holds may have run', async () => {
+		const outcome = handOver();
+		await delay(50);
+		silent = true;
+		const silentAt = performance.now();
+		while (near.links.accepts(address)) {
+			await delay(10);
+		}
+
+		expect(performance.now() - silentAt).toBeLessThan(peerLinkOptions.pingAfterMilliseconds + peerLinkOptions.suspectMilliseconds + 250);
+		expect(await outcome).toMatchObject({result: 'may-have-run'});
+	});
+});
+
+it('a peer that leaves gets no new requests', async () => {
+	far.leaving = true;
+	far.links.announce();
+	near.links.announce();
+	await delay(100);
+	expect(near.links.accepts(address)).toBe(false);
+});
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -16,9 +16,11 @@
 /** @public */
 export const peerLinkOptions = {
 	/** Time between two checks of all links. */
-	checkMilliseconds: 200,
+	checkMilliseconds: 100,
 	/** Silence on a link that owes an answer after which the peer is asked for a sign of life. */
-	pingAfterMilliseconds: 400,
+	pingAfterMilliseconds: 300,
+	/** Time without an answer to a ping after which a peer gets no new requests: many round trips between domains. */
+	suspectMilliseconds: 250,
 	/** Time between pings: what peers believe and learn travels with them. */
 	pingMilliseconds: 1000,
 	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
@@ -100,15 +102,13 @@
 		this.linkTo(address);
 	}
 
-	/** True where the peer has answered lately, said that it stays, and its link is open. */
-	isUsable(address: Address): boolean {
+	/**
+	 * True unless the peer leaves, owes an answer to a ping, or could not be dialled lately. What is handed over into a cut is
+	 * lost, and its caller can't be told that it did not run.
+	 */
+	accepts(address: Address): boolean {
 		const link = this.dialled.get(keyOf(address));
-		return link?.isOpen === true && !link.remoteLeaving;
-	}
-
-	/** True where dialling failed so lately that another try is of no use. */
-	isUnreachable(address: Address): boolean {
-		return (this.failedUntil.get(keyOf(address)) ?? 0) > this.clock.now();
+		return link === undefined ? !this.isUnreachable(address) : !link.remoteLeaving && !link.isSuspect;
 	}
 
 	/** Hands a request to a peer; settles once unless cancelled. Nothing was sent where it settles with `not-run`. */
@@ -150,6 +150,10 @@
 		return [...this.dialled.entries()].map(([peer, link]) => ({peer, open: link.isOpen, pending: link.pendingCount}));
 	}
 
+	private isUnreachable(address: Address): boolean {
+		return (this.failedUntil.get(keyOf(address)) ?? 0) > this.clock.now();
+	}
+
 	private linkTo(address: Address): PeerLink | undefined {
 		const key = keyOf(address);
 		const held = this.dialled.get(key);
@@ -274,6 +278,10 @@
 		return this.open && !this.closed;
 	}
 
+	get isSuspect(): boolean {
+		return this.pingedAt !== undefined && this.clock.now() - this.pingedAt > peerLinkOptions.suspectMilliseconds;
+	}
+
 	get pendingCount(): number {
 		return this.pending.size;
 	}
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -67,7 +67,7 @@
 
 	const profile = new CallProfile();
 	const links = {
-		isUnreachable: () => false,
+		accepts: () => true,
 		handOver(address: {host: string}, request: HandOver, settle: (outcome: RunOutcome) => void) {
 			const entry: Sent = {
 				host: address.host, request, settle, cancelled: false,
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -258,7 +258,7 @@
 		const instance = placement.choose({
 			candidates: records.instancesOf(this.service),
 			excluded: this.tried,
-			isReachable: candidate => this.isOwn(candidate) || !links.isUnreachable({host: candidate.address.host, port: peerPort}),
+			isReachable: candidate => this.isOwn(candidate) || links.accepts({host: candidate.address.host, port: peerPort}),
 		});
 		if (instance === undefined) {
 			this.conclude(this.lastReason === '' ? 'no-instance' : this.lastReason, requestFlowOptions.unavailableRetryAfterMilliseconds);
@@ -399,7 +399,7 @@
 		if (this.fallback !== undefined) {
 			this.finish(this.fallback, 'target-failed', reason);
 		} else if (this.mayHaveRun) {
-			this.finish(ownAnswer(502, reason), 'failed', reason);
+			this.finish(ownAnswer(reason === 'deadline-exceeded' ? 504 : 502, reason), 'failed', reason);
 		} else {
 			this.finish(this.flows.refusal(reason, roomInMilliseconds), 'refused', reason);
 		}
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -336,9 +336,11 @@
 
 		this.exchange = undefined;
 		this.rest(info);
-		exchange.settle({type: 'answered', answer: {
-			status: info.statusCode, headers: info.headers, body, unframed: this.endedByConnection,
-		}});
+		exchange.settle({
+			type: 'answered', answer: {
+				status: info.statusCode, headers: info.headers, body, unframed: this.endedByConnection,
+			},
+		});
 	}
 
 	/** Keeps the connection for the next request, or closes it. */
