--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -73,7 +73,9 @@
 
 /** @public */
 export type ResultMessage = {
-	type: typeof LinkMessageType.result; id: number; outcome: RunOutcome; load: LoadReport;
+	type: typeof LinkMessageType.result; id: number; outcome: RunOutcome;
+	/** Left out where the last report on the link is fresh. */
+	load?: LoadReport;
 };
 
 /** @public */
--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -56,7 +56,7 @@
 			side.received.push(handOver);
 			side.ages.push(age);
 			if (side.answer !== undefined) {
-				answer(side.answer, load);
+				answer(side.answer);
 			}
 
 			return () => {
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -23,6 +23,8 @@
 	suspectMilliseconds: 250,
 	/** Time between pings: what peers believe and learn travels with them. */
 	pingMilliseconds: 1000,
+	/** Time between load reports in results; queues change little within it. */
+	reportMilliseconds: 50,
 	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
 	silenceLimitMilliseconds: 1200,
 	/** Longest wait for a connection: several round trips between domains. */
@@ -41,7 +43,7 @@
 
 /** What arrives for the node from its peers. @public */
 export type PeerEvents = {
-	onHandOver(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome, load: LoadReport) => void): CancelHandOver;
+	onHandOver(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome) => void): CancelHandOver;
 	onLoad(peer: string, load: LoadReport): void;
 	onCalls(peer: string, calls: CallsByRoute): void;
 	onRecords(records: StoredRecord[]): void;
@@ -203,6 +205,7 @@
 	private closed = false;
 	private lastReceivedAt: number;
 	private lastPingAt = 0;
+	private reportedAt = Number.NEGATIVE_INFINITY;
 	private pingedAt: number | undefined;
 	private answeredPong = false;
 	private behindSince: number | undefined;
@@ -216,7 +219,10 @@
 			this.running.delete(id);
 		},
 		[LinkMessageType.result]: ({id, outcome, load}) => {
-			this.events.onLoad(this.peer, load);
+			if (load !== undefined) {
+				this.events.onLoad(this.peer, load);
+			}
+
 			const pending = this.pending.get(id);
 			this.pending.delete(id);
 			pending?.settle(outcome);
@@ -392,11 +398,11 @@
 		const age = this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
 		const {id} = message;
 		let answered = false;
-		const cancel = this.events.onHandOver(message, Number.isFinite(age) ? age : 0, (outcome, load) => {
+		const cancel = this.events.onHandOver(message, Number.isFinite(age) ? age : 0, outcome => {
 			answered = true;
 			this.running.delete(id);
 			this.send({
-				type: LinkMessageType.result, id, outcome, load,
+				type: LinkMessageType.result, id, outcome, load: this.freshLoad(outcome),
 			});
 		});
 		if (!answered) {
@@ -421,6 +427,17 @@
 		}
 	}
 
+	/** The own load, where a report is due; a refusal always tells the load that caused it. */
+	private freshLoad(outcome: RunOutcome): LoadReport | undefined {
+		const now = this.clock.now();
+		if (outcome.result === RunResult.answered && now - this.reportedAt < peerLinkOptions.reportMilliseconds) {
+			return undefined;
+		}
+
+		this.reportedAt = now;
+		return this.local.load();
+	}
+
 	private stamp(): {sentAt: number; heard: number | undefined} {
 		return {sentAt: this.clock.now(), heard: this.linkClock.heard};
 	}
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -157,7 +157,8 @@
 		});
 		this.flows = new RequestFlows({
 			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
-			placement: this.placement, parentOfCall: parts.parentOfCall, budget, profile: this.profile, admission: this.admission, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
+			placement: this.placement, parentOfCall: parts.parentOfCall, budget,
+			profile: this.profile, admission: this.admission, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
 		});
 		this.entry = new EntryListener({
 			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
@@ -239,11 +240,11 @@
 		return !this.leaving && this.records.policy !== undefined && this.instanceByHost.size > 0;
 	}
 
-	private runForPeer(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome, load: LoadReport) => void): () => void {
+	private runForPeer(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome) => void): () => void {
 		if (this.leaving) {
 			answer({
 				result: RunResult.notRun, reason: 'leaving', reachedTarget: false, roomInMilliseconds: 0,
-			}, this.runner.load);
+			});
 			return () => undefined;
 		}
 
@@ -263,7 +264,7 @@
 				});
 			}
 
-			answer(outcome, this.runner.load);
+			answer(outcome);
 		});
 		return () => {
 			this.runningHandOvers -= 1;
