sidecar: Let calls inherit the rank of the work that makes them, and fill deep services up to their slots

Change: a call waits just before new work of its parent's rank; the target use is 1; ranks are those of requests seen lately.

--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -125,7 +125,6 @@
 			this.table = new RouteTable(policy);
 			this.tableVersion = policy.version;
 			this.work.clear();
-			this.parts.admission.setRanks(policy.routes.map(({rank}) => rank));
 		}
 
 		const route = this.table.match(request.host, request.path);
@@ -140,10 +139,11 @@
 
 		const service = this.table.nextService(route);
 		const parent = this.parts.parentOfCall(request.attempt);
-		const parentRoute = parent === undefined ? undefined : this.parts.runner.routeOfRunning(parent);
-		const fromTarget = parentRoute !== undefined;
+		const running = parent === undefined ? undefined : this.parts.runner.runningWork(parent);
+		const fromTarget = running !== undefined;
+		const rank = fromTarget ? rankOfCall(running.rank) : route.rank;
 		if (fromTarget) {
-			this.parts.profile.noteCall(parentRoute, route.name);
+			this.parts.profile.noteCall(running.route, route.name);
 		} else {
 			this.parts.budget.noteRequest(service);
 			const cause = this.parts.admission.refusingService(route.rank, this.workOf(route, service).keys());
@@ -154,7 +154,7 @@
 		}
 
 		this.active += 1;
-		const flow = new RequestFlow(this, {...request, fromTarget}, route, service, passedHeaders(request.headers, this.replacedHeaders), answer => {
+		const flow = new RequestFlow(this, {...request, fromTarget, rank}, route, service, passedHeaders(request.headers, this.replacedHeaders), answer => {
 			this.active -= 1;
 			respond(answer);
 		}, () => {
@@ -204,7 +204,6 @@
 	private readonly tried = new Set<string>();
 	private readonly deadlineAt: number;
 	private readonly usefulUntil: number;
-	private readonly rank: number;
 	private reroutes = 0;
 	private arrivals = 0;
 	private mayHaveRun = false;
@@ -218,7 +217,7 @@
 
 	constructor(
 		private readonly flows: RequestFlows,
-		private readonly request: EntryRequest & {fromTarget: boolean},
+		private readonly request: EntryRequest & {fromTarget: boolean; rank: number},
 		private readonly route: Route,
 		private readonly service: string,
 		private readonly headers: string[],
@@ -228,7 +227,6 @@
 		this.parts = flows.parts;
 		const limit = Math.min(request.limitMilliseconds ?? requestFlowOptions.defaultLimitMilliseconds, route.timeoutMilliseconds);
 		this.deadlineAt = request.receivedAt + limit;
-		this.rank = request.fromTarget ? 0 : 1 + route.rank;
 		this.usefulUntil = request.receivedAt + (request.fromTarget
 			? limit * requestFlowOptions.usefulCallShare
 			: Math.min(limit, route.objectiveMilliseconds) * requestFlowOptions.usefulShare);
@@ -290,7 +288,7 @@
 		const {request} = this;
 		if (this.isOwn(instance)) {
 			const work: TargetWork = {
-				instance: instance.name, route: this.route.name, attempt: request.attempt, callerService: service, rank: this.rank, deadlineAt: this.deadlineAt,
+				instance: instance.name, route: this.route.name, attempt: request.attempt, callerService: service, rank: this.request.rank, deadlineAt: this.deadlineAt,
 				latestStartAt: this.usefulUntil, method: request.method, path: request.path, headers: this.headers, body: request.body,
 			};
 			return runner.run(work, settle);
@@ -298,7 +296,7 @@
 
 		const now = clock.now();
 		return links.handOver({host: instance.address.host, port: peerPort}, {
-			instance: instance.name, route: this.route.name, callerService: service, attempt: request.attempt, rank: this.rank,
+			instance: instance.name, route: this.route.name, callerService: service, attempt: request.attempt, rank: this.request.rank,
 			remainingMilliseconds: this.deadlineAt - now, usefulMilliseconds: this.usefulUntil - now,
 			method: request.method, path: request.path, headers: this.headers, body: request.body,
 		}, settle);
@@ -453,6 +451,14 @@
 	return {status, headers: jsonHeaders, body: Buffer.from(JSON.stringify({reason}))};
 }
 
+/**
+ * Rank of a call of a target that runs work of a rank: before new work of the same rank, because work above it is lost with it,
+ * and behind more urgent work. Ranks of requests are whole numbers.
+ */
+export function rankOfCall(parentRank: number): number {
+	return Number.isInteger(parentRank) ? parentRank - 0.5 : parentRank;
+}
+
 function doNothing(): void {
 	// The request already has its answer.
 }
--- a/packages/sidecar/src/lib/root-admission.test.ts
+++ b/packages/sidecar/src/lib/root-admission.test.ts
@@ -27,7 +27,6 @@
 	const generator = xoroshiro128plus(42);
 	const random = () => uniformFloat64(generator);
 	const admission = new RootAdmission(random);
-	admission.setRanks(loads.keys());
 	const results: Result[] = loads.map(() => ({asked: 0, admitted: 0}));
 	const arriving = new Map<number, number>();
 	let work = 0;
@@ -90,21 +89,26 @@
 
 it('the next rank is refused only once the least urgent one gets nothing', () => {
 	const admission = new RootAdmission(() => 0.5);
-	admission.setRanks([0, 1, 2]);
+	const ranks = [0, 3, 7];
+	for (const rank of ranks) {
+		admission.refusingService(rank, []);
+	}
+
 	for (let now = 0; now <= 10_000; now += 100) {
 		admission.update(now, new Map([['deep', {active: 100, waiting: 100, limit: 100}]]));
-		if (admission.refusingService(1, ['deep']) !== undefined) {
-			expect(admission.refusingService(2, ['deep'])).toBe('deep');
+		if (admission.refusingService(3, ['deep']) !== undefined) {
+			expect(admission.refusingService(7, ['deep'])).toBe('deep');
 		}
 	}
 
 	expect(admission.levelOf('deep')).toBeLessThanOrEqual(3 + rootAdmissionOptions.proportional);
-	expect(admission.refusingService(2, ['other'])).toBeUndefined();
+	expect(admission.refusingService(0, ['deep'])).toBe('deep');
+	expect(admission.refusingService(7, ['other'])).toBeUndefined();
 });
 
 it('a service that is no longer reported refuses nothing', () => {
 	const admission = new RootAdmission(() => 0);
-	admission.setRanks([0]);
+	admission.refusingService(0, []);
 	admission.update(0, new Map([['deep', {active: 9, waiting: 9, limit: 9}]]));
 	admission.update(400, new Map([['deep', {active: 9, waiting: 9, limit: 9}]]));
 	expect(admission.refusingService(0, ['deep'])).toBe('deep');
--- a/packages/sidecar/src/lib/root-admission.ts
+++ b/packages/sidecar/src/lib/root-admission.ts
@@ -10,13 +10,15 @@
 /** @public */
 export const rootAdmissionOptions = {
 	/** Use of the slots of a service, waiting work included, above which the level rises. */
-	targetUse: 0.9,
+	targetUse: 1,
 	/** Highest use that is calculated with; a long queue says no more than a short one. */
 	maximumUse: 1.6,
 	/** Change of the level per second for a use of 1 above the target. */
 	levelPerSecond: 1.2,
 	/** Part of the level that follows the use directly. */
 	proportional: 0.5,
+	/** Time for which a rank without requests still takes part. */
+	rankMemoryMilliseconds: 10_000,
 	/** Longest step of time that one update counts. */
 	maximumStepMilliseconds: 500,
 } as const;
@@ -33,24 +35,23 @@
 	private readonly levels = new Map<string, number>();
 	private readonly direct = new Map<string, number>();
 	private updatedAt: number | undefined;
-	private lowestRank = 0;
+	/** When a request of each rank was last seen. */
+	private readonly seenAt = new Map<number, number>();
+	/** Ranks seen lately, the most urgent first; the level starts with the last one. */
+	private ranks: number[] = [];
 
 	constructor(private readonly random: () => number) {}
 
-	/** Tells which ranks there are, so that the level starts with the least urgent one. */
-	setRanks(ranks: Iterable<number>): void {
-		this.lowestRank = Math.max(0, ...ranks);
-	}
-
 	/** Moves the levels by the time since the last update. */
 	update(now: number, uses: ReadonlyMap<string, ServiceUse>): void {
 		const step = Math.min(rootAdmissionOptions.maximumStepMilliseconds, now - (this.updatedAt ?? now)) / 1000;
 		this.updatedAt = now;
+		this.forgetRanks(now);
 		for (const [service, {active, waiting, limit}] of uses) {
 			const use = Math.min(rootAdmissionOptions.maximumUse, (active + waiting) / Math.max(1, limit));
 			const excess = use - rootAdmissionOptions.targetUse;
 			const level = (this.levels.get(service) ?? 0) + (excess * rootAdmissionOptions.levelPerSecond * step);
-			this.levels.set(service, Math.min(this.lowestRank + 1, Math.max(0, level)));
+			this.levels.set(service, Math.min(this.ranks.length, Math.max(0, level)));
 			this.direct.set(service, Math.max(0, excess) * rootAdmissionOptions.proportional);
 		}
 
@@ -64,6 +65,7 @@
 
 	/** The service for which a request must be refused; undefined where it may go on. */
 	refusingService(rank: number, services: Iterable<string>): string | undefined {
+		this.noteRank(rank);
 		let highest = 0;
 		let cause: string | undefined;
 		for (const service of services) {
@@ -74,7 +76,7 @@
 			}
 		}
 
-		const share = highest - (this.lowestRank - rank);
+		const share = highest - (this.ranks.length - 1 - this.ranks.indexOf(rank));
 		return cause !== undefined && share > 0 && this.random() < share ? cause : undefined;
 	}
 
@@ -87,4 +89,21 @@
 	dump(): unknown {
 		return Object.fromEntries(this.levels);
 	}
+
+	private noteRank(rank: number): void {
+		if (!this.seenAt.has(rank)) {
+			this.ranks = [...this.ranks, rank].toSorted((first, second) => first - second);
+		}
+
+		this.seenAt.set(rank, this.updatedAt ?? 0);
+	}
+
+	private forgetRanks(now: number): void {
+		for (const [rank, seenAt] of this.seenAt) {
+			if (now - seenAt > rootAdmissionOptions.rankMemoryMilliseconds) {
+				this.seenAt.delete(rank);
+				this.ranks = this.ranks.filter(other => other !== rank);
+			}
+		}
+	}
 }
--- a/packages/sidecar/src/lib/target-queue.test.ts
+++ b/packages/sidecar/src/lib/target-queue.test.ts
@@ -3,6 +3,7 @@
  */
 import {describe, expect, it} from 'vitest';
 import {FakeClock} from './fake-clock.js';
+import {rankOfCall} from './request-flow.js';
 import {TargetQueue} from './target-queue.js';
 
 type Outcome = {name: string; result: 'started' | 'refused'; at: number};
@@ -94,3 +95,17 @@
 		expect(outcomes).toHaveLength(1000);
 	});
 });
+
+it('under overload, urgent requests come before calls of less urgent ones, and those before new requests of their rank', () => {
+	const {clock, outcomes, offer} = play(1);
+	offer('running', 0, 1000);
+	offer('browse', 2, 1000);
+	offer('call of browse', rankOfCall(2), 1000);
+	offer('call of a call of browse', rankOfCall(rankOfCall(2)), 1000);
+	offer('look-up', 1, 1000);
+	offer('call of booking', rankOfCall(0), 1000);
+	clock.advance(1000);
+	expect(outcomes.map(({name}) => name)).toEqual([
+		'running', 'call of booking', 'look-up', 'call of browse', 'call of a call of browse', 'browse',
+	]);
+});
--- a/packages/sidecar/src/lib/target-queue.ts
+++ b/packages/sidecar/src/lib/target-queue.ts
@@ -3,8 +3,9 @@
  * more than the target works on at once, and a request that waits here can still be refused truthfully.
  *
  * Answers the heaviest load: more work arrives than the target can do. Work waits by rank, then by arrival; calls of work
- * that already runs elsewhere come first, because refusing them wastes what was done above. A request is refused as soon
- * as its turn would come too late to be of use, which is known from the work ahead of it and the observed time per request.
+ * that already runs elsewhere come just before new work of its rank, because refusing them wastes what was done above. A
+ * request is refused as soon as its turn would come too late to be of use, which is known from the work ahead of it and
+ * the observed time per request.
  */
 import type {Clock} from './clock.js';
 
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -17,7 +17,7 @@
 	route: string;
 	attempt: string;
 	callerService: string;
-	/** Lower ranks start first. */
+	/** Lower ranks start first; see `rankOfCall`. */
 	rank: number;
 	/** Monotonic time at which the sender stops waiting. */
 	deadlineAt: number;
@@ -48,7 +48,7 @@
 	private readonly clock: Clock;
 	private readonly headers: HeaderNames;
 	private readonly profile: CallProfile;
-	private readonly running = new Map<string, string>();
+	private readonly running = new Map<string, TargetWork>();
 	private successShare = 1;
 
 	constructor(options: TargetRunnerOptions) {
@@ -63,8 +63,8 @@
 		return {...this.queue.load, successShare: this.successShare};
 	}
 
-	/** Route of an attempt that the target works on; undefined where it does not. */
-	routeOfRunning(attempt: string): string | undefined {
+	/** The attempt as the target works on it; undefined where it does not. */
+	runningWork(attempt: string): Pick<TargetWork, 'route' | 'rank'> | undefined {
 		return this.running.get(attempt);
 	}
 
@@ -99,7 +99,7 @@
 			settle(outcome);
 		};
 
-		this.running.set(work.attempt, work.route);
+		this.running.set(work.attempt, work);
 		this.profile.noteRun(work.route);
 		const cancelSend = this.connections.send(this.requestOf(work, startedAt), outcome => {
 			if (!settled) {
