--- a/packages/sidecar/src/lib/fleet-records.ts
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -15,7 +15,7 @@
 /** Deletions are remembered, so that an older copy from a peer can't bring an entry back. */
 const maximumDeletions = 10_000;
 
-type Held = {record: StoredRecord; decoded: DecodedRecord | undefined; receivedAt: number};
+type Held = {record: StoredRecord; decoded: DecodedRecord | undefined};
 
 /** Where a record came from, for the log. @public */
 export type RecordSourceName = 'service' | 'peer';
@@ -40,7 +40,7 @@
 export class FleetRecords {
 	private readonly held = new Map<string, Held>();
 	private readonly deletions = new Map<string, number>();
-	private readonly lapsed = new Map<string, {instance: TargetInstance; revision: number; since: number}>();
+	private readonly lapsed = new Map<string, {instance: TargetInstance; revision: number}>();
 	private policyRecord: StoredRecord | undefined;
 	private policyHeld: RoutingPolicy | undefined;
 	private policyReceivedAt = 0;
@@ -178,7 +178,7 @@
 		}
 
 		const usable = decoded.type === 'instance' ? decoded : undefined;
-		this.held.set(record.key, {record, decoded: usable, receivedAt: this.now()});
+		this.held.set(record.key, {record, decoded: usable});
 		this.deletions.delete(record.key);
 		this.lapsed.delete(record.key);
 		this.newestFleetRevision = Math.max(this.newestFleetRevision, record.revision);
@@ -217,7 +217,7 @@
 		this.newestFleetRevision = Math.max(this.newestFleetRevision, revision);
 		const doubtful = held?.decoded?.type === 'instance' && held.decoded.instance.state === 'ready' && this.isOutageRecent();
 		if (doubtful && held.decoded?.type === 'instance') {
-			this.lapsed.set(key, {instance: held.decoded.instance, revision, since: this.now()});
+			this.lapsed.set(key, {instance: held.decoded.instance, revision});
 		}
 
 		this.index();
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -7,6 +7,7 @@
 import {WebSocket, WebSocketServer} from 'ws';
 import type {CallsByRoute} from './call-profile.js';
 import type {Clock} from './clock.js';
+import {doNothing} from './do-nothing.js';
 import type {Address, StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
 import {
@@ -477,7 +478,3 @@
 function keyOf(address: Address): string {
 	return `${address.host}:${address.port}`;
 }
-
-function doNothing(): void {
-	// Nothing was handed over.
-}
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -8,6 +8,7 @@
 import type {CallProfile} from './call-profile.js';
 import type {Clock} from './clock.js';
 import {LineImportance, type DecisionLog} from './decision-log.js';
+import {doNothing} from './do-nothing.js';
 import type {FleetRecords} from './fleet-records.js';
 import type {
 	Address, HeaderNames, ParentOfCall, Route, TargetInstance,
@@ -458,7 +459,3 @@
 export function rankOfCall(parentRank: number): number {
 	return Number.isInteger(parentRank) ? parentRank - 0.5 : parentRank;
 }
-
-function doNothing(): void {
-	// The request already has its answer.
-}
--- a/packages/sidecar/src/lib/target-queue.ts
+++ b/packages/sidecar/src/lib/target-queue.ts
@@ -8,6 +8,7 @@
  * the observed time per request.
  */
 import type {Clock} from './clock.js';
+import {doNothing} from './do-nothing.js';
 
 /** @public */
 export const targetQueueOptions = {
@@ -182,7 +183,3 @@
 function limitOf(slots: number): number {
 	return Math.max(1, Math.floor(slots * targetQueueOptions.usedShare));
 }
-
-function doNothing(): void {
-	// Work that already started or was refused can't be taken back.
-}
