sidecar: Fetch whole records from a peer only where something is missing

Change: ask a peer only without a policy or where its revisions are ahead; a held policy has a revision like any record. The new case of fleet-records.test.ts failed before.

--- a/packages/sidecar/src/lib/fleet-records.test.ts
+++ b/packages/sidecar/src/lib/fleet-records.test.ts
@@ -61,6 +61,18 @@
 		expect(records.policy?.version).toBe(8);
 	});
 
+	it('that are held already change nothing and are not reported again', () => {
+		records.apply({key: 'policy', revision: 2, value: '8'}, 'service');
+		records.apply({key: 'one', revision: 3, value: at(1)}, 'service');
+		const changes: string[] = [];
+		records.onChange(({outcome}) => {
+			changes.push(outcome);
+		});
+		expect(records.apply({key: 'policy', revision: 2, value: '8'}, 'peer')).toBe(false);
+		expect(records.apply({key: 'one', revision: 3, value: at(1)}, 'peer')).toBe(false);
+		expect(changes).toEqual([]);
+	});
+
 	it('remove what a listing lacks, but not what changed after it', () => {
 		records.apply({key: 'one', revision: 5, value: at(1)}, 'service');
 		records.apply({key: 'two', revision: 9, value: at(2)}, 'peer');
--- a/packages/sidecar/src/lib/fleet-records.ts
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -99,8 +99,7 @@
 
 	/** Applies one record; returns true where it was newer than what was held. */
 	apply(record: StoredRecord, source: RecordSourceName): boolean {
-		const known = Math.max(this.held.get(record.key)?.record.revision ?? 0, this.deletions.get(record.key) ?? 0);
-		if (record.revision <= known) {
+		if (record.revision <= this.revisionOf(record.key)) {
 			return false;
 		}
 
@@ -170,6 +169,12 @@
 		};
 	}
 
+	/** The newest revision known of a key, 0 for none. */
+	private revisionOf(key: string): number {
+		const policyRevision = this.policyRecord?.key === key ? this.policyRecord.revision : 0;
+		return Math.max(policyRevision, this.held.get(key)?.record.revision ?? 0, this.deletions.get(key) ?? 0);
+	}
+
 	private accept(record: StoredRecord & {value: string}, source: RecordSourceName): void {
 		const decoded = this.decode(record.key, record.value);
 		if (decoded.type === 'policy') {
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -134,7 +134,7 @@
 		}
 	}
 
-	/** Asks a few peers for their records, while the configuration service does not answer. */
+	/** Asks a peer for its records, while the node knows no policy. */
 	requestRecords(): void {
 		const link = [...this.dialled.values()].find(candidate => candidate.isOpen);
 		link?.requestRecords();
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -314,7 +314,8 @@
 
 			this.records.expireLapsed();
 			this.countNodes();
-			if (!this.records.serviceReachable) {
+			// Later changes show in the revisions of pings; without any policy there is nothing to compare.
+			if (this.records.policy === undefined) {
 				this.links.requestRecords();
 			}
 
