--- /dev/null
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -0,0 +1,354 @@
+/**
+ * One link to another node: a WebSocket whose messages are batched per turn of the event loop. A link that owes an answer
+ * and stays silent is closed, because a cut or a machine without power closes nothing.
+ */
+import {type Buffer} from 'node:buffer';
+import {LinkClock} from '@hemlockthread/wire';
+import {WebSocket} from 'ws';
+import type {CallsByRoute} from './call-profile.js';
+import type {Clock} from './clock.js';
+import {doNothing} from './do-nothing.js';
+import type {StoredRecord} from './fleet-model.js';
+import type {RevisionSummary} from './fleet-records.js';
+import {
+	decodeMessages, encodeMessages, LinkMessageType, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
+} from './link-messages.js';
+
+/** @public */
+export const peerLinkOptions = {
+	/** Time between two checks of all links. */
+	checkMilliseconds: 100,
+	/** Silence on a link that owes an answer after which the peer is asked for a sign of life. */
+	pingAfterMilliseconds: 300,
+	/** Time without an answer to a ping after which a peer gets no new requests: many round trips between domains. */
+	suspectMilliseconds: 250,
+	/** Time between pings: what peers believe and learn travels with them. */
+	pingMilliseconds: 1000,
+	/** Time between load reports in results; queues change little within it. */
+	reportMilliseconds: 50,
+	/** Silence after a ping that ends the link: a cut, or a peer without processor time. */
+	silenceLimitMilliseconds: 1200,
+	/** Longest wait for a connection: several round trips between domains. */
+	connectTimeoutMilliseconds: 500,
+	/** Wait before a peer that could not be reached is dialled again. */
+	redialMilliseconds: 500,
+	/** Bytes that may wait in a socket before further requests are refused. */
+	maximumBufferedBytes: 8 * 1024 * 1024,
+	maximumMessageBytes: 80 * 1024 * 1024,
+	/** How long a peer may be ahead in revisions before its records are fetched: the service's own notice comes sooner as a rule. */
+	behindMilliseconds: 250,
+} as const;
+
+/** @public */
+export type HandOver = Omit<HandOverMessage, 'type' | 'id' | 'sentAt' | 'heard'>;
+
+/** What arrives for the node from its peers. @public */
+export type PeerEvents = {
+	onHandOver(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome) => void): CancelHandOver;
+	onLoad(peer: string, load: LoadReport): void;
+	onCalls(peer: string, calls: CallsByRoute): void;
+	onRecords(records: StoredRecord[]): void;
+	onLinkChange(peer: string, state: 'open' | 'closed', detail: string): void;
+};
+
+/** Ends a request at the node that runs it. @public */
+export type CancelHandOver = () => void;
+
+/** @public */
+export type PeerLocalState = {
+	isLeaving(): boolean;
+	revisions(): RevisionSummary;
+	load(): LoadReport;
+	calls(): CallsByRoute;
+	records(): StoredRecord[];
+};
+
+type Pending = {settle(outcome: RunOutcome): void};
+type Handlers = {[Message in LinkMessage as Message['type']]: (message: Message) => void};
+
+const lost: RunOutcome = {result: RunResult.mayHaveRun, reason: 'link-lost'};
+
+/**
+ * One link.
+ *
+ * @internal
+ */
+export class PeerLink {
+	remoteLeaving = false;
+	private readonly pending = new Map<number, Pending>();
+	private readonly running = new Map<number, CancelHandOver>();
+	private readonly linkClock = new LinkClock();
+	private outbox: LinkMessage[] = [];
+	private nextId = 0;
+	private open: boolean;
+	private closed = false;
+	private lastReceivedAt: number;
+	private lastPingAt = 0;
+	private reportedAt = Number.NEGATIVE_INFINITY;
+	private pingedAt: number | undefined;
+	private answeredPong = false;
+	private behindSince: number | undefined;
+
+	private readonly handlers: Handlers = {
+		[LinkMessageType.handOver]: message => {
+			this.receiveHandOver(message);
+		},
+		[LinkMessageType.cancel]: ({id}) => {
+			this.running.get(id)?.();
+			this.running.delete(id);
+		},
+		[LinkMessageType.result]: ({id, outcome, load}) => {
+			if (load !== undefined) {
+				this.events.onLoad(this.peer, load);
+			}
+
+			const pending = this.pending.get(id);
+			this.pending.delete(id);
+			pending?.settle(outcome);
+		},
+		[LinkMessageType.ping]: message => {
+			this.receiveState(message);
+			this.send({
+				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(), calls: this.local.calls(),
+			});
+		},
+		[LinkMessageType.pong]: message => {
+			this.receiveState(message);
+			if (!this.answeredPong) {
+				// Without a prompt stamp after its own, the peer could bound the age of requests only by the time between pings.
+				this.answeredPong = true;
+				this.ping();
+			}
+
+			this.events.onLoad(this.peer, message.load);
+			this.events.onCalls(this.peer, message.calls ?? {});
+		},
+		[LinkMessageType.wantRecords]: () => {
+			this.send({type: LinkMessageType.records, records: this.local.records()});
+		},
+		[LinkMessageType.records]: ({records}) => {
+			this.events.onRecords(records);
+		},
+	};
+
+	constructor(
+		private readonly peer: string,
+		private readonly socket: WebSocket,
+		private readonly local: PeerLocalState,
+		private readonly events: PeerEvents,
+		private readonly clock: Clock,
+		private readonly onClosed: () => void,
+	) {
+		this.open = socket.readyState === WebSocket.OPEN;
+		this.lastReceivedAt = clock.now();
+		socket.binaryType = 'nodebuffer';
+		socket.on('open', () => {
+			this.open = true;
+			this.lastReceivedAt = clock.now();
+			this.events.onLinkChange(peer, 'open', '');
+			this.ping();
+		});
+		socket.on('message', (data: Buffer) => {
+			this.receive(data);
+		});
+		socket.on('error', error => {
+			this.close(error.message);
+		});
+		socket.on('close', () => {
+			this.close('closed by the peer');
+		});
+	}
+
+	get isOpen(): boolean {
+		return this.open && !this.closed;
+	}
+
+	get isSuspect(): boolean {
+		return this.pingedAt !== undefined && this.clock.now() - this.pingedAt > peerLinkOptions.suspectMilliseconds;
+	}
+
+	get pendingCount(): number {
+		return this.pending.size;
+	}
+
+	handOver(request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
+		if (this.socket.bufferedAmount > peerLinkOptions.maximumBufferedBytes) {
+			settle({
+				result: RunResult.notRun, reason: 'link-full', reachedTarget: false, roomInMilliseconds: 0,
+			});
+			return doNothing;
+		}
+
+		this.nextId += 1;
+		const id = this.nextId;
+		this.pending.set(id, {settle});
+		this.send({
+			type: LinkMessageType.handOver, id, ...request, ...this.stamp(),
+		});
+		return () => {
+			if (this.pending.delete(id)) {
+				this.send({type: LinkMessageType.cancel, id});
+			}
+		};
+	}
+
+	ping(): void {
+		this.lastPingAt = this.clock.now();
+		this.pingedAt ??= this.lastPingAt;
+		this.send({
+			type: LinkMessageType.ping, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(),
+		});
+	}
+
+	requestRecords(): void {
+		this.send({type: LinkMessageType.wantRecords});
+	}
+
+	/** Pings or closes a dialled link, by what it owes and how long it has been silent. */
+	check(): void {
+		if (!this.isOpen) {
+			return;
+		}
+
+		const now = this.clock.now();
+		const silence = now - this.lastReceivedAt;
+		if (this.pingedAt !== undefined && now - this.pingedAt > peerLinkOptions.silenceLimitMilliseconds && silence > peerLinkOptions.silenceLimitMilliseconds) {
+			this.close('silent');
+			return;
+		}
+
+		const isOwed = this.pending.size > 0 && silence >= peerLinkOptions.pingAfterMilliseconds;
+		if (this.pingedAt === undefined && (isOwed || now - this.lastPingAt >= peerLinkOptions.pingMilliseconds)) {
+			this.ping();
+		}
+	}
+
+	/** Ends an accepted link whose peer no longer pings. */
+	checkAccepted(): void {
+		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.pingMilliseconds + peerLinkOptions.silenceLimitMilliseconds) * 2) {
+			this.close('silent');
+		}
+	}
+
+	close(reason: string): void {
+		if (this.closed) {
+			return;
+		}
+
+		this.closed = true;
+		this.onClosed();
+		this.events.onLinkChange(this.peer, 'closed', reason);
+		const wasOpen = this.open;
+		if (reason === 'node stops') {
+			this.socket.close();
+		} else {
+			this.socket.terminate();
+		}
+
+		for (const cancel of this.running.values()) {
+			cancel();
+		}
+
+		this.running.clear();
+		const pending = [...this.pending.values()];
+		this.pending.clear();
+		for (const {settle} of pending) {
+			settle(wasOpen
+				? lost
+				: {
+					result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
+				});
+		}
+	}
+
+	private receive(data: Buffer): void {
+		this.lastReceivedAt = this.clock.now();
+		this.pingedAt = undefined;
+		try {
+			for (const message of decodeMessages(data)) {
+				(this.handlers[message.type] as (message: LinkMessage) => void)(message);
+			}
+		} catch (error) {
+			this.close(`protocol error: ${(error as Error).message}`);
+		}
+	}
+
+	private receiveHandOver(message: HandOverMessage): void {
+		const age = this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		const {id} = message;
+		let answered = false;
+		const cancel = this.events.onHandOver(message, Number.isFinite(age) ? age : 0, outcome => {
+			answered = true;
+			this.running.delete(id);
+			this.send({
+				type: LinkMessageType.result, id, outcome, load: this.freshLoad(outcome),
+			});
+		});
+		if (!answered) {
+			this.running.set(id, cancel);
+		}
+	}
+
+	private receiveState(message: {sentAt: number; heard: number | undefined; leaving: boolean; revisions: RevisionSummary}): void {
+		this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		this.remoteLeaving = message.leaving;
+		const mine = this.local.revisions();
+		const behind = message.revisions.policyVersion > mine.policyVersion || message.revisions.fleetRevision > mine.fleetRevision;
+		if (!behind) {
+			this.behindSince = undefined;
+			return;
+		}
+
+		this.behindSince ??= this.lastReceivedAt;
+		if (this.lastReceivedAt - this.behindSince >= peerLinkOptions.behindMilliseconds || mine.policyVersion === 0) {
+			this.behindSince = undefined;
+			this.requestRecords();
+		}
+	}
+
+	/** The own load, where a report is due; a refusal always tells the load that caused it. */
+	private freshLoad(outcome: RunOutcome): LoadReport | undefined {
+		const now = this.clock.now();
+		if (outcome.result === RunResult.answered && now - this.reportedAt < peerLinkOptions.reportMilliseconds) {
+			return undefined;
+		}
+
+		this.reportedAt = now;
+		return this.local.load();
+	}
+
+	private stamp(): {sentAt: number; heard: number | undefined} {
+		return {sentAt: this.clock.now(), heard: this.linkClock.heard};
+	}
+
+	private send(message: LinkMessage): void {
+		if (this.closed) {
+			return;
+		}
+
+		this.outbox.push(message);
+		if (this.outbox.length === 1) {
+			setImmediate(() => {
+				this.flush();
+			});
+		}
+	}
+
+	private flush(): void {
+		if (this.closed || this.outbox.length === 0) {
+			return;
+		}
+
+		if (!this.open) {
+			// Sent once the connection stands.
+			this.socket.once('open', () => {
+				this.flush();
+			});
+			return;
+		}
+
+		const messages = this.outbox;
+		this.outbox = [];
+		this.socket.send(encodeMessages(messages));
+	}
+}
--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -11,8 +11,8 @@
 } from 'vitest';
 import {processClock} from './clock.js';
 import type {LoadReport, RunOutcome} from './link-messages.js';
-import {
-	PeerLinks, peerLinkOptions, type HandOver, type PeerEvents,
+import {peerLinkOptions, type HandOver, type PeerEvents} from './peer-link.js';
+import {PeerLinks} from './peer-links.js';
 } from './peer-links.js';
 
 const load: LoadReport = {
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -7,6 +7,7 @@
 import 'reflect-metadata';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {redact} from '@hemlockthread/telemetry';
 import {container as rootContainer, type DependencyContainer} from 'tsyringe';
 import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
@@ -17,7 +18,8 @@
 } from './fleet-model.js';
 import {FleetRecords, type RecordChange} from './fleet-records.js';
 import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
-import {PeerLinks, type HandOver} from './peer-links.js';
+import type {HandOver} from './peer-link.js';
+import {PeerLinks} from './peer-links.js';
 import {Placement} from './placement.js';
 import {RecordFollower, type RecordSource} from './record-follower.js';
 import {RequestFlows} from './request-flow.js';
@@ -41,6 +43,9 @@
 	nodeCountMemoryMilliseconds: 20_000,
 } as const;
 
+/** Path of the state dump on the metrics address. */
+const statePath = '/state';
+
 /** @public */
 export type SidecarSettings = {
 	node: string;
@@ -182,9 +187,7 @@
 		await this.serve(settings.readyAddress, path => path === settings.readyPath ? {status: this.isReady() ? 200 : 503, body: ''} : undefined);
 		if (settings.metricsAddress !== undefined) {
 			this.observeGauges();
-			await this.serve(settings.metricsAddress, async path => path === settings.metricsPath
-				? {status: 200, body: await this.metrics.registry.metrics()}
-				: undefined);
+			await this.serve(settings.metricsAddress, async path => this.describe(path));
 		}
 
 		void this.follower.run(settings.recordPrefixes, this.running.signal);
@@ -232,6 +235,15 @@
 		};
 	}
 
+	/** What operators may fetch: metrics as text, and the state of all parts as JSON. */
+	private async describe(path: string): Promise<{status: number; body: string} | undefined> {
+		if (path === this.settings.metricsPath) {
+			return {status: 200, body: await this.metrics.registry.metrics()};
+		}
+
+		return path === statePath ? {status: 200, body: JSON.stringify(redact(this.dump()))} : undefined;
+	}
+
 	private isBusy(): boolean {
 		return this.flows.activeCount > 0 || this.runningHandOvers > 0;
 	}
