--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -13,7 +13,6 @@
 import type {LoadReport, RunOutcome} from './link-messages.js';
 import {peerLinkOptions, type HandOver, type PeerEvents} from './peer-link.js';
 import {PeerLinks} from './peer-links.js';
-} from './peer-links.js';
 
 const load: LoadReport = {
 	active: 1, waiting: 0, limit: 4, meanMilliseconds: 10, successShare: 1,
