--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -11,7 +11,7 @@
 import {doNothing} from './do-nothing.js';
 import type {FleetRecords} from './fleet-records.js';
 import type {
-	Address, HeaderNames, ParentOfCall, Route, TargetInstance,
+	Address, HeaderNames, ParentOfCall, Route, RoutingPolicy, TargetInstance,
 } from './fleet-model.js';
 import {RunResult, type RunOutcome} from './link-messages.js';
 import {passedHeaders, type HeaderList} from './message-headers.js';
@@ -35,6 +35,8 @@
 	usefulCallShare: 0.9,
 	/** Least time left in which another attempt is sensible. */
 	minimumRetryMilliseconds: 50,
+	/** Width of the spread of the time told, as a share of it. */
+	retryAfterJitter: 0.5,
 	/** Shortest time after which a refused caller is told to return. */
 	minimumRetryAfterMilliseconds: 100,
 	/** Mean wait told to callers that are refused for a service deeper in the graph: longer than its queue takes to shrink. */
@@ -122,23 +124,15 @@
 			return doNothing;
 		}
 
-		if (this.table === undefined || this.tableVersion !== policy.version) {
-			this.table = new RouteTable(policy);
-			this.tableVersion = policy.version;
-			this.work.clear();
-		}
-
-		const route = this.table.match(request.host, request.path);
+		const table = this.tableOf(policy);
+		const route = table.match(request.host, request.path);
 		if (route === undefined) {
 			respond(ownAnswer(404, 'unknown-route'));
-			metrics.countRequest('none', 'rejected', 'unknown-route');
-			this.parts.log.line('request', {
-				id: request.attempt, outcome: 'rejected', reason: 'unknown-route', host: request.host, path: request.path, policyVersion: policy.version,
-			});
+			this.noteUnknownRoute(request, policy.version);
 			return doNothing;
 		}
 
-		const service = this.table.nextService(route);
+		const service = table.nextService(route);
 		const parent = this.parts.parentOfCall(request.attempt);
 		const running = parent === undefined ? undefined : this.parts.runner.runningWork(parent);
 		const fromTarget = running !== undefined;
@@ -182,13 +176,32 @@
 		return work;
 	}
 
+	/** A refusal that tells its caller when to come back, spread so that callers do not return together. */
 	refusal(reason: string, retryAfterMilliseconds: number): EntryAnswer {
-		const spread = retryAfterMilliseconds * (0.75 + (this.parts.random() * 0.5));
+		const {retryAfterJitter} = requestFlowOptions;
+		const spread = retryAfterMilliseconds * (1 - (retryAfterJitter / 2) + (this.parts.random() * retryAfterJitter));
 		const seconds = Math.max(requestFlowOptions.minimumRetryAfterMilliseconds, spread) / 1000;
 		const answer = ownAnswer(503, reason);
 		return {...answer, headers: [...answer.headers, 'Retry-After', seconds.toFixed(2)]};
 	}
 
+	private tableOf(policy: RoutingPolicy): RouteTable {
+		if (this.table === undefined || this.tableVersion !== policy.version) {
+			this.table = new RouteTable(policy);
+			this.tableVersion = policy.version;
+			this.work.clear();
+		}
+
+		return this.table;
+	}
+
+	private noteUnknownRoute(request: EntryRequest, policyVersion: number): void {
+		this.parts.metrics.countRequest('none', 'rejected', 'unknown-route');
+		this.parts.log.line('request', {
+			id: request.attempt, outcome: 'rejected', reason: 'unknown-route', host: request.host, path: request.path, policyVersion,
+		});
+	}
+
 	private refuseAtRoot(request: EntryRequest, route: Route, cause: string, respond: (answer: EntryAnswer) => void): void {
 		const {admission, log, metrics} = this.parts;
 		respond(this.refusal('overloaded-below', requestFlowOptions.rootRetryAfterMilliseconds));
