--- /dev/null
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -0,0 +1,270 @@
+/**
+ * The entry as callers see it: raw bytes in, raw bytes out, over loopback.
+ */
+import {Buffer} from 'node:buffer';
+import {connect, type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
+import {
+	afterEach, beforeEach, describe, expect, it,
+} from 'vitest';
+import {processClock} from './clock.js';
+import {EntryListener, entryListenerOptions} from './entry-listener.js';
+import type {EntryAnswer, EntryRequest} from './request-flow.js';
+
+type Held = {request: EntryRequest; left: boolean; respond(answer: EntryAnswer): void};
+
+const host = '127.0.0.1';
+let listener: EntryListener;
+let port = 0;
+let held: Held[] = [];
+let answerAtOnce = true;
+let headerTimeoutMilliseconds = 3000;
+const sockets: Socket[] = [];
+
+const echo = (request: EntryRequest): EntryAnswer => ({
+	status: 200, headers: ['X-Path', request.path, 'Connection', 'upgrade'], body: Buffer.from(request.body?.toString() ?? 'no body'),
+});
+
+beforeEach(async () => {
+	held = [];
+	answerAtOnce = true;
+	headerTimeoutMilliseconds = 3000;
+	listener = new EntryListener({
+		address: {host, port: 0}, headers: {attempt: 'x-attempt', remainingTime: 'x-remaining'}, clock: processClock,
+		limits: () => ({
+			maximumHeaderBytes: 16_384, maximumBodyBytes: 100, headerTimeoutMilliseconds, idleTimeoutMilliseconds: 15_000,
+		}),
+		handle(request, respond) {
+			const entry: Held = {request, respond, left: false};
+			held.push(entry);
+			if (answerAtOnce) {
+				respond(echo(request));
+			}
+
+			return () => {
+				entry.left = true;
+			};
+		},
+	});
+	await listener.listen();
+	port = listener.port;
+});
+
+afterEach(() => {
+	listener.close();
+	for (const socket of sockets.splice(0)) {
+		socket.destroy();
+	}
+});
+
+type Caller = {socket: Socket; text(): string; isEnded(): boolean; send(text: string): Promise<void>};
+
+async function call(): Promise<Caller> {
+	const socket = connect({host, port, allowHalfOpen: true});
+	sockets.push(socket);
+	let text = '';
+	let ended = false;
+	socket.on('data', bytes => {
+		text += bytes.toString('latin1');
+	});
+	socket.on('end', () => {
+		ended = true;
+	});
+	socket.on('error', () => {
+		ended = true;
+	});
+	return {
+		socket, text: () => text, isEnded: () => ended,
+		async send(bytes) {
+			socket.write(bytes, 'latin1');
+			await delay(60);
+		},
+	};
+}
+
+const get = (path: string, more = '') => `GET ${path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt: a\r\n${more}\r\n`;
+const post = (head: string, body: string) => `POST /p HTTP/1.1\r\nHost: shop.example\r\n${head}\r\n${body}`;
+
+describe('a request is passed on and answered', () => {
+	it.each([
+		['without a body', get('/a?b=c'), 'no body', undefined],
+		['with a length', post('Content-Length: 4\r\n', 'body'), 'body', 'body'],
+		['with an empty body', post('Content-Length: 0\r\n', ''), '', ''],
+		['in chunks', post('Transfer-Encoding: chunked\r\n', '2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n'), 'body', 'body'],
+	])('%s', async (_name, bytes, answer, body) => {
+		const caller = await call();
+		await caller.send(bytes);
+		expect(caller.text()).toMatch(/^HTTP\/1\.1 200 OK\r\n/v);
+		expect(caller.text()).toContain(`Content-Length: ${answer.length}\r\n`);
+		expect(caller.text().endsWith(`\r\n\r\n${answer}`)).toBe(true);
+		expect(held[0]!.request.body?.toString()).toBe(body);
+		// Headers of the connection between node and target don't reach the caller.
+		expect(caller.text()).not.toContain('upgrade');
+		expect(caller.isEnded()).toBe(false);
+	});
+
+	it('byte by byte', async () => {
+		const caller = await call();
+		for (const byte of post('Content-Length: 4\r\n', 'body')) {
+			caller.socket.write(byte);
+			await delay(1);
+		}
+
+		await delay(60);
+		expect(caller.text().endsWith('body')).toBe(true);
+		expect(held).toHaveLength(1);
+	});
+
+	it('with attempt, host and time', async () => {
+		const caller = await call();
+		await caller.send(get('/a', 'X-Remaining: 250\r\n'));
+		expect(held[0]!.request).toMatchObject({
+			method: 'GET', path: '/a', host: 'shop.example', attempt: 'a', limitMilliseconds: 250,
+		});
+	});
+
+	it('to HEAD without a body', async () => {
+		const caller = await call();
+		await caller.send(get('/a').replace('GET', 'HEAD'));
+		expect(caller.text().endsWith('\r\n\r\n')).toBe(true);
+	});
+
+	it('after the caller was told to send a body that waits', async () => {
+		const caller = await call();
+		await caller.send(post('Content-Length: 4\r\nExpect: 100-continue\r\n', ''));
+		expect(caller.text()).toBe('HTTP/1.1 100 Continue\r\n\r\n');
+		await caller.send('body');
+		expect(caller.text()).toContain('200 OK');
+	});
+});
+
+describe('several requests on one connection', () => {
+	it('are answered in their order, one after the other', async () => {
+		answerAtOnce = false;
+		const caller = await call();
+		await caller.send(get('/1') + get('/2') + get('/3'));
+		expect(held.map(({request}) => request.path)).toEqual(['/1']);
+		held[0]!.respond(echo(held[0]!.request));
+		await delay(20);
+		held[1]!.respond(echo(held[1]!.request));
+		await delay(20);
+		held[2]!.respond(echo(held[2]!.request));
+		await delay(20);
+		expect(caller.text().match(/X-Path: \/\d/gv)).toEqual(['X-Path: /1', 'X-Path: /2', 'X-Path: /3']);
+	});
+
+	it('end with one that can\'t be read, and the earlier one is answered', async () => {
+		answerAtOnce = false;
+		const caller = await call();
+		await caller.send(`${get('/1')}nonsense\r\n\r\n`);
+		held[0]!.respond(echo(held[0]!.request));
+		await delay(60);
+		expect(caller.text()).toContain('X-Path: /1');
+		expect(caller.text()).toContain('Connection: close');
+		expect(caller.text()).not.toContain('400');
+		expect(caller.isEnded()).toBe(true);
+	});
+});
+
+describe('what can be read in two ways is refused and ends the connection', () => {
+	it.each([
+		['two lengths', post('Content-Length: 4\r\nContent-Length: 4\r\n', 'body'), 400],
+		['a length and chunks', post('Content-Length: 4\r\nTransfer-Encoding: chunked\r\n', '0\r\n\r\n'), 400],
+		['a signed length', post('Content-Length: +4\r\n', 'body'), 400],
+		['another coding', post('Transfer-Encoding: gzip, chunked\r\n', '0\r\n\r\n'), 400],
+		['a space before the colon', post('Content-Length : 4\r\n', 'body'), 400],
+		['a folded line', post('X-A: b\r\n c\r\n', ''), 400],
+		['a line without a colon', post('X-A\r\n', ''), 400],
+		['a bare carriage return', post('X-A: b\rContent-Length: 4\r\n', 'body'), 400],
+		['a control character', post('X-A: b\u0000c\r\n', ''), 400],
+		['a malformed chunk size', post('Transfer-Encoding: chunked\r\n', 'x\r\n\r\n'), 400],
+		['chunks and another protocol', post('Connection: upgrade\r\nUpgrade: h2c\r\nTransfer-Encoding: chunked\r\n', '0\r\n\r\n'), 400],
+		['no host', 'GET / HTTP/1.1\r\n\r\n', 400],
+		['two hosts', get('/', 'Host: other.example\r\n'), 400],
+		['a tunnel', 'CONNECT shop.example:1 HTTP/1.1\r\nHost: shop.example\r\n\r\n', 405],
+		['another version', 'GET / HTTP/3.0\r\nHost: shop.example\r\n\r\n', 505],
+		['no request', 'nonsense\r\n\r\n', 400],
+	])('%s', async (_name, bytes, status) => {
+		const caller = await call();
+		await caller.send(bytes + get('/hidden'));
+		expect(caller.text()).toMatch(new RegExp(String.raw`^HTTP/1\.1 ${status} `, 'v'));
+		expect(caller.isEnded()).toBe(true);
+		expect(held).toEqual([]);
+	});
+});
+
+describe('a caller that leaves ends its request', () => {
+	it.each([
+		['by closing', (socket: Socket) => socket.destroy()],
+		['by a reset', (socket: Socket) => socket.resetAndDestroy()],
+		['by ending its side', (socket: Socket) => socket.end()],
+	])('%s', async (_name, leave) => {
+		answerAtOnce = false;
+		const caller = await call();
+		await caller.send(get('/a'));
+		leave(caller.socket);
+		await delay(60);
+		expect(held[0]!.left).toBe(true);
+	});
+
+	it('and one that leaves amid its body is passed nowhere', async () => {
+		const caller = await call();
+		await caller.send(post('Content-Length: 4\r\n', 'bo'));
+		caller.socket.destroy();
+		await delay(60);
+		expect(held).toEqual([]);
+	});
+});
+
+it('a body over the limit gets 413', async () => {
+	const caller = await call();
+	await caller.send(post('Content-Length: 101\r\n', 'x'.repeat(101)));
+	expect(caller.text()).toContain('HTTP/1.1 413');
+});
+
+it('an answer without a length ends with its connection', async () => {
+	answerAtOnce = false;
+	const caller = await call();
+	await caller.send(get('/a'));
+	held[0]!.respond({
+		status: 200, headers: [], body: Buffer.from('part'), unframed: true,
+	});
+	await delay(60);
+	expect(caller.text()).not.toContain('Content-Length');
+	expect(caller.text().endsWith('part')).toBe(true);
+	expect(caller.isEnded()).toBe(true);
+});
+
+it('a head that never ends is answered 408', async () => {
+	headerTimeoutMilliseconds = 200;
+	const caller = await call();
+	await caller.send('GET / HTTP/1.1\r\nHost: shop.example\r\n');
+	await delay(200 + (entryListenerOptions.checkMilliseconds * 2));
+	expect(caller.text()).toContain('HTTP/1.1 408');
+	expect(caller.isEnded()).toBe(true);
+});
+
+describe('while the node leaves', () => {
+	it('answers ask for another connection, and the connection ends after them', async () => {
+		answerAtOnce = false;
+		const caller = await call();
+		await caller.send(get('/a'));
+		listener.leave();
+		held[0]!.respond(echo(held[0]!.request));
+		await delay(60);
+		expect(caller.text()).toContain('Connection: close');
+		expect(caller.isEnded()).toBe(true);
+	});
+
+	it('connections without a request end, others stay until their answer', async () => {
+		answerAtOnce = false;
+		const idle = await call();
+		const busy = await call();
+		await busy.send(get('/a'));
+		listener.leave();
+		listener.closeIdle();
+		await delay(60);
+		expect(idle.isEnded()).toBe(true);
+		expect(busy.isEnded()).toBe(false);
+	});
+});
--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -1,14 +1,10 @@
 /**
- * The HTTP listener for callers on this machine and for the target's own calls. `node:http` carries it: hapi adds about a
- * third more processor time for each request, which the heaviest load leaves no room for; see docs/platform.md.
+ * The HTTP listener for callers on this machine and for the target's own calls.
  */
-import {Buffer} from 'node:buffer';
-import {
-	createServer, type IncomingMessage, type Server, type ServerResponse,
-} from 'node:http';
+import {createServer, type AddressInfo, type Server} from 'node:net';
 import type {Clock} from './clock.js';
+import {EntryConnection, type EntryConnectionOptions, type EntryTimeouts} from './entry-connection.js';
 import type {Address, CallerLimits} from './fleet-model.js';
-import {headerValue, passedHeaders} from './message-headers.js';
 import type {EntryAnswer, EntryRequest} from './request-flow.js';
 
 /** @public */
@@ -26,16 +22,18 @@
 	idleMarginMilliseconds: 5000,
 	/** Idle time before a policy states one. */
 	firstIdleMilliseconds: 60_000,
+	/** Time for a head before a policy states one: the default of `node:http`. */
+	firstHeaderMilliseconds: 60_000,
+	/** Time that a caller has to close its side after the last answer; several round trips. */
+	lingeringMilliseconds: 1000,
+	/** Time between two looks at all connections; the limits above are longer by far. */
+	checkMilliseconds: 500,
 	/** Connections waiting to be accepted. */
 	backlog: 1024,
-	/** Largest request head; policies state at most this. */
-	maximumHeaderBytes: 64 * 1024,
 	/** Largest body before a policy states a limit. */
 	firstMaximumBodyBytes: 1024 * 1024,
 } as const;
 
-const noneReplaced: ReadonlySet<string> = new Set(['content-length']);
-
 /**
  * Accepts requests and answers each one once.
  *
@@ -43,29 +41,38 @@
  */
 export class EntryListener {
 	private readonly server: Server;
+	private readonly connections = new Set<EntryConnection>();
+	private readonly connectionOptions: EntryConnectionOptions;
 	private leaving = false;
+	private cancelCheck: (() => void) | undefined;
 
 	constructor(private readonly options: EntryListenerOptions) {
-		this.server = createServer({
-			noDelay: true, maxHeaderSize: entryListenerOptions.maximumHeaderBytes, requestTimeout: 0,
-			keepAliveTimeout: entryListenerOptions.firstIdleMilliseconds,
-		}, (request, response) => {
-			this.receive(request, response);
+		this.connectionOptions = {
+			headers: options.headers, clock: options.clock,
+			maximumBodyBytes: () => options.limits()?.maximumBodyBytes ?? entryListenerOptions.firstMaximumBodyBytes,
+			isLeaving: () => this.leaving,
+			handle: (request, respond) => options.handle(request, respond),
+		};
+		this.server = createServer({noDelay: true, allowHalfOpen: true}, socket => {
+			const connection: EntryConnection = new EntryConnection(socket, this.connectionOptions, () => {
+				this.connections.delete(connection);
+			});
+			this.connections.add(connection);
 		});
 	}
 
+	/** The port in use, also where the address leaves the choice to the system. */
+	get port(): number {
+		return (this.server.address() as AddressInfo).port;
+	}
+
 	async listen(): Promise<void> {
 		const {host, port} = this.options.address;
 		await new Promise<void>((resolve, reject) => {
 			this.server.once('error', reject);
 			this.server.listen({host, port, backlog: entryListenerOptions.backlog}, resolve);
 		});
-	}
-
-	/** Applies the limits of a new policy. */
-	applyLimits(limits: CallerLimits): void {
-		this.server.keepAliveTimeout = limits.idleTimeoutMilliseconds + entryListenerOptions.idleMarginMilliseconds;
-		this.server.headersTimeout = limits.headerTimeoutMilliseconds;
+		this.scheduleCheck();
 	}
 
 	/** Asks callers to use another connection next; requests are still answered. */
@@ -74,86 +81,37 @@
 	}
 
 	closeIdle(): void {
-		this.server.closeIdleConnections();
+		for (const connection of this.connections) {
+			connection.endIdle();
+		}
 	}
 
 	close(): void {
+		this.cancelCheck?.();
 		this.server.close();
-		this.server.closeAllConnections();
-	}
-
-	private receive(request: IncomingMessage, response: ServerResponse): void {
-		const hasBody = request.headers['content-length'] !== undefined || request.headers['transfer-encoding'] !== undefined;
-		if (!hasBody) {
-			this.pass(request, response, undefined);
-			return;
+		for (const connection of this.connections) {
+			connection.destroy();
 		}
+	}
 
-		const maximum = this.options.limits()?.maximumBodyBytes ?? entryListenerOptions.firstMaximumBodyBytes;
-		const chunks: Buffer[] = [];
-		let size = 0;
-		request.on('data', (chunk: Buffer) => {
-			size += chunk.length;
-			if (size <= maximum) {
-				chunks.push(chunk);
-			}
-		});
-		request.on('end', () => {
-			if (size > maximum) {
-				this.respond(response, {status: 413, headers: [], body: undefined});
-				return;
+	private scheduleCheck(): void {
+		this.cancelCheck = this.options.clock.after(entryListenerOptions.checkMilliseconds, () => {
+			const now = this.options.clock.now();
+			const timeouts = this.timeouts();
+			for (const connection of this.connections) {
+				connection.check(now, timeouts);
 			}
 
-			this.pass(request, response, chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
-		});
-		request.on('error', () => {
-			// The caller left before it had sent the whole request: nothing was passed on and nobody waits for an answer.
-			response.destroy();
+			this.scheduleCheck();
 		});
 	}
 
-	private pass(request: IncomingMessage, response: ServerResponse, body: Buffer | undefined): void {
-		const {rawHeaders} = request;
-		const stated = Number(headerValue(rawHeaders, this.options.headers.remainingTime));
-		let answered = false;
-		const leave = this.options.handle({
-			method: request.method ?? 'GET',
-			host: request.headers.host ?? '',
-			path: request.url ?? '/',
-			headers: rawHeaders,
-			body,
-			attempt: headerValue(rawHeaders, this.options.headers.attempt) ?? '',
-			limitMilliseconds: Number.isFinite(stated) && stated > 0 ? stated : undefined,
-			receivedAt: this.options.clock.now(),
-		}, answer => {
-			answered = true;
-			this.respond(response, answer);
-		});
-		if (!answered) {
-			response.on('close', () => {
-				if (!answered) {
-					leave();
-				}
-			});
-		}
-	}
-
-	private respond(response: ServerResponse, answer: EntryAnswer): void {
-		const headers = passedHeaders(answer.headers, noneReplaced);
-		const isUnframed = answer.unframed === true;
-		if (this.leaving || isUnframed) {
-			headers.push('Connection', 'close');
-		}
-
-		const length = answer.body?.length ?? 0;
-		if (isUnframed) {
-			response.useChunkedEncodingByDefault = false;
-		} else if (answer.status !== 204 && answer.status !== 304) {
-			headers.push('Content-Length', response.req.method === 'HEAD' ? headerValue(answer.headers, 'content-length') ?? '0' : String(length));
-		}
-
-		response.sendDate = false;
-		response.writeHead(answer.status, headers);
-		response.end(length === 0 ? undefined : answer.body);
+	private timeouts(): EntryTimeouts {
+		const limits = this.options.limits();
+		return {
+			header: limits?.headerTimeoutMilliseconds ?? entryListenerOptions.firstHeaderMilliseconds,
+			idle: limits === undefined ? entryListenerOptions.firstIdleMilliseconds : limits.idleTimeoutMilliseconds + entryListenerOptions.idleMarginMilliseconds,
+			lingering: entryListenerOptions.lingeringMilliseconds,
+		};
 	}
 }
--- a/packages/sidecar/src/lib/link-messages.test.ts
+++ b/packages/sidecar/src/lib/link-messages.test.ts
@@ -5,7 +5,7 @@
 import {Packr} from 'msgpackr';
 import {describe, expect, it} from 'vitest';
 import {
-	decodeMessages, encodeMessages, LinkMessageType, RunResult, type LinkMessage, type LoadReport,
+	decodeMessages, encodeFrame, frameHeaderBytes, LinkMessageType, RunResult, type LinkMessage, type LoadReport,
 } from './link-messages.js';
 
 const load: LoadReport = {
@@ -47,7 +47,9 @@
 		['want', {type: LinkMessageType.wantRecords}],
 		['records', {type: LinkMessageType.records, records: [{key: 'k', revision: 1, value: 'v'}]}],
 	])('%s', (_name, message) => {
-		expect(decodeMessages(encodeMessages([message, message]))).toEqual([message, message]);
+		const frame = encodeFrame([message, message]);
+		expect(frame.readUInt32BE(0)).toBe(frame.length - frameHeaderBytes);
+		expect(decodeMessages(frame.subarray(frameHeaderBytes))).toEqual([message, message]);
 	});
 });
 
@@ -56,7 +58,7 @@
 	expect(decodeMessages(bytes)).toEqual([{type: LinkMessageType.cancel, id: 4}]);
 });
 
-it.each<[string, Uint8Array]>([
+it.each<[string, Buffer]>([
 	['no msgpack', Buffer.from([0xC1])],
 	['no list', new Packr({useRecords: false}).pack({a: 1})],
 	['an unknown result', new Packr({useRecords: false}).pack([[LinkMessageType.result, 1, ['other']]])],
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -1,10 +1,11 @@
 /**
- * Messages between nodes. A WebSocket message carries a list of them in msgpack, so that what is sent within one turn of
- * the event loop costs one write.
+ * Messages between nodes. A frame carries a list of them in msgpack, so that what is sent within one turn of the event loop
+ * costs one write. Each message is a list that starts with its type. New fields go to the end, so that versions can run side
+ * by side.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {ProtocolError} from '@hemlockthread/verdict';
-import {Packr} from 'msgpackr';
+import {Packr, RESERVE_START_SPACE} from 'msgpackr';
 import type {CallsByRoute} from './call-profile.js';
 import type {StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
@@ -100,61 +101,148 @@
 export type LinkMessage
 	= | HandOverMessage | CancelMessage | ResultMessage | PingMessage | PongMessage | WantRecordsMessage | RecordsMessage;
 
+/** Bytes before the messages of a frame: their length. */
+export const frameHeaderBytes = 4;
+
 const packr = new Packr({useRecords: false});
 
-type FieldsByType = {[Message in LinkMessage as Message['type']]: ReadonlyArray<Exclude<keyof Message, 'type'>>};
+type WireLoad = readonly [active: number, waiting: number, limit: number, meanMilliseconds: number, successShare: number];
 
-/**
- * Order of the fields on the wire: a message is a list that starts with its type. Names in every message would cost a fifth
- * of the time to encode it. New fields go to the end, so that versions can run side by side.
- */
-const fieldsByType: FieldsByType = {
-	[LinkMessageType.handOver]: [
-		'sentAt',
-		'heard',
-		'id',
-		'instance',
-		'route',
-		'callerService',
-		'attempt',
-		'rank',
-		'remainingMilliseconds',
-		'usefulMilliseconds',
-		'method',
-		'path',
-		'headers',
-		'body',
-	],
-	[LinkMessageType.cancel]: ['id'],
-	[LinkMessageType.result]: ['id', 'outcome', 'load'],
-	[LinkMessageType.ping]: ['sentAt', 'heard', 'leaving', 'revisions'],
-	[LinkMessageType.pong]: ['sentAt', 'heard', 'leaving', 'revisions', 'load', 'calls'],
-	[LinkMessageType.wantRecords]: [],
-	[LinkMessageType.records]: ['records'],
+type WireOutcomes = {
+	[RunResult.answered]: readonly [result: typeof RunResult.answered, status: number, headers: string, body: Uint8Array, unframed: boolean];
+	[RunResult.notRun]: readonly [result: typeof RunResult.notRun, reason: string, reachedTarget: boolean, roomInMilliseconds: number];
+	[RunResult.mayHaveRun]: readonly [result: typeof RunResult.mayHaveRun, reason: string];
+};
+
+type WireOutcome = WireOutcomes[RunOutcome['result']];
+
+/** Messages as they stand on the wire. */
+type WireMessages = {
+	[LinkMessageType.handOver]: readonly [
+		type: typeof LinkMessageType.handOver, sentAt: number, heard: number | undefined, id: number, instance: string, route: string, callerService: string,
+		attempt: string, rank: number, remainingMilliseconds: number, usefulMilliseconds: number, method: string, path: string, headers: string,
+		body: Uint8Array | undefined,
+	];
+	[LinkMessageType.cancel]: readonly [type: typeof LinkMessageType.cancel, id: number];
+	[LinkMessageType.result]: readonly [type: typeof LinkMessageType.result, id: number, outcome: WireOutcome, load: WireLoad | undefined];
+	[LinkMessageType.ping]: readonly [
+		type: typeof LinkMessageType.ping, sentAt: number, heard: number | undefined, leaving: boolean, revisions: RevisionSummary,
+	];
+	[LinkMessageType.pong]: readonly [
+		type: typeof LinkMessageType.pong, sentAt: number, heard: number | undefined, leaving: boolean, revisions: RevisionSummary, load: WireLoad,
+		calls: CallsByRoute | undefined,
+	];
+	[LinkMessageType.wantRecords]: readonly [type: typeof LinkMessageType.wantRecords];
+	[LinkMessageType.records]: readonly [type: typeof LinkMessageType.records, records: StoredRecord[]];
 };
 
-type OutcomeFields = {[Outcome in RunOutcome as Outcome['result']]: ReadonlyArray<Exclude<keyof Outcome, 'result'>>};
+type WireMessage = WireMessages[LinkMessage['type']];
+type Encoders = {[Message in LinkMessage as Message['type']]: (message: Message) => WireMessages[Message['type']]};
+type Decoders = {[Message in LinkMessage as Message['type']]: (fields: WireMessages[Message['type']]) => Message};
+type OutcomeEncoders = {[Outcome in RunOutcome as Outcome['result']]: (outcome: Outcome) => WireOutcomes[Outcome['result']]};
+type OutcomeDecoders = {[Outcome in RunOutcome as Outcome['result']]: (fields: WireOutcomes[Outcome['result']]) => Outcome};
+
+const outcomeEncoders: OutcomeEncoders = {
+	[RunResult.answered]: ({result, status, headers, body, unframed}) => [result, status, headersToText(headers), body, unframed],
+	[RunResult.notRun]: ({result, reason, reachedTarget, roomInMilliseconds}) => [result, reason, reachedTarget, roomInMilliseconds],
+	[RunResult.mayHaveRun]: ({result, reason}) => [result, reason],
+};
+
+const outcomeDecoders: OutcomeDecoders = {
+	[RunResult.answered]: ([, status, headers, body, unframed]) => ({
+		result: RunResult.answered, status, headers: headersFromText(headers), body, unframed,
+	}),
+	[RunResult.notRun]: ([, reason, reachedTarget, roomInMilliseconds]) => ({
+		result: RunResult.notRun, reason, reachedTarget, roomInMilliseconds,
+	}),
+	[RunResult.mayHaveRun]: ([, reason]) => ({result: RunResult.mayHaveRun, reason}),
+};
+
+const encoders: Encoders = {
+	[LinkMessageType.handOver]: message => [
+		message.type,
+		message.sentAt,
+		message.heard,
+		message.id,
+		message.instance,
+		message.route,
+		message.callerService,
+		message.attempt,
+		message.rank,
+		message.remainingMilliseconds,
+		message.usefulMilliseconds,
+		message.method,
+		message.path,
+		headersToText(message.headers),
+		message.body,
+	],
+	[LinkMessageType.cancel]: ({type, id}) => [type, id],
+	[LinkMessageType.result]: ({type, id, outcome, load}) => [
+		type,
+		id,
+		(outcomeEncoders[outcome.result] as (outcome: RunOutcome) => WireOutcome)(outcome),
+		load === undefined ? undefined : loadToList(load),
+	],
+	[LinkMessageType.ping]: ({type, sentAt, heard, leaving, revisions}) => [type, sentAt, heard, leaving, revisions],
+	[LinkMessageType.pong]: ({type, sentAt, heard, leaving, revisions, load, calls}) => [type, sentAt, heard, leaving, revisions, loadToList(load), calls],
+	[LinkMessageType.wantRecords]: ({type}) => [type],
+	[LinkMessageType.records]: ({type, records}) => [type, records],
+};
 
-const fieldsByResult: OutcomeFields = {
-	[RunResult.answered]: ['status', 'headers', 'body', 'unframed'],
-	[RunResult.notRun]: ['reason', 'reachedTarget', 'roomInMilliseconds'],
-	[RunResult.mayHaveRun]: ['reason'],
+const decoders: Decoders = {
+	[LinkMessageType.handOver]: ([
+		,
+		sentAt,
+		heard,
+		id,
+		instance,
+		route,
+		callerService,
+		attempt,
+		rank,
+		remainingMilliseconds,
+		usefulMilliseconds,
+		method,
+		path,
+		headers,
+		body,
+	]) => ({
+		type: LinkMessageType.handOver, sentAt, heard, id, instance, route, callerService, attempt, rank, remainingMilliseconds,
+		usefulMilliseconds, method, path, headers: headersFromText(headers), body,
+	}),
+	[LinkMessageType.cancel]: ([, id]) => ({type: LinkMessageType.cancel, id}),
+	[LinkMessageType.result]: ([, id, outcome, load]) => ({
+		type: LinkMessageType.result, id, outcome: outcomeFromList(outcome), load: load === undefined ? undefined : loadFromList(load),
+	}),
+	[LinkMessageType.ping]: ([, sentAt, heard, leaving, revisions]) => ({
+		type: LinkMessageType.ping, sentAt, heard, leaving, revisions,
+	}),
+	[LinkMessageType.pong]: ([, sentAt, heard, leaving, revisions, load, calls]) => ({
+		type: LinkMessageType.pong, sentAt, heard, leaving, revisions, load: loadFromList(load), calls,
+	}),
+	[LinkMessageType.wantRecords]: () => ({type: LinkMessageType.wantRecords}),
+	[LinkMessageType.records]: ([, records]) => ({type: LinkMessageType.records, records}),
 };
 
-/** Encodes a batch of messages. */
-export function encodeMessages(messages: readonly LinkMessage[]): Uint8Array {
-	return packr.pack(messages.map(message => toList(message.type, fieldsByType[message.type], message)));
+/** Encodes a batch of messages as one frame. */
+export function encodeFrame(messages: readonly LinkMessage[]): Buffer {
+	const frame = packr.pack(
+		messages.map(message => (encoders[message.type] as (message: LinkMessage) => WireMessage)(message)),
+		RESERVE_START_SPACE + frameHeaderBytes,
+	);
+	frame.writeUInt32BE(frame.length - frameHeaderBytes, 0);
+	return frame;
 }
 
 /**
- * Decodes a batch and leaves out types that this version does not know.
+ * Decodes the messages of a frame, without its header, and leaves out types that this version does not know.
  *
  * @throws ProtocolError when the bytes are not a list of messages.
  */
-export function decodeMessages(bytes: Uint8Array): LinkMessage[] {
+export function decodeMessages(bytes: Buffer): LinkMessage[] {
 	let value: unknown;
 	try {
-		value = packr.unpack(Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength));
+		value = packr.unpack(bytes);
 	} catch (error) {
 		throw new ProtocolError('message of a peer is not msgpack', {cause: error});
 	}
@@ -165,54 +253,43 @@
 
 	const messages: LinkMessage[] = [];
 	for (const list of value as unknown[]) {
-		const message = Array.isArray(list) ? toMessage(list) : undefined;
-		if (message !== undefined) {
-			messages.push(message);
+		if (!Array.isArray(list)) {
+			continue;
+		}
+
+		const decode = decoders[list[0] as LinkMessage['type']] as ((fields: WireMessage) => LinkMessage) | undefined;
+		if (decode !== undefined) {
+			messages.push(decode(list as unknown as WireMessage));
 		}
 	}
 
 	return messages;
 }
 
-function toList(first: number | string, fields: readonly string[], message: object): unknown[] {
-	const list: unknown[] = [first];
-	for (const field of fields) {
-		const value = (message as Record<string, unknown>)[field];
-		list.push(field === 'outcome' ? outcomeToList(value as RunOutcome) : value);
+function outcomeFromList(list: WireOutcome): RunOutcome {
+	const decode = outcomeDecoders[list[0]] as ((fields: WireOutcome) => RunOutcome) | undefined;
+	if (decode === undefined) {
+		throw new ProtocolError(`result "${String(list)}" of a peer is unknown`);
 	}
 
-	return list;
+	return decode(list);
 }
 
-function outcomeToList(outcome: RunOutcome): unknown[] {
-	return toList(outcome.result, fieldsByResult[outcome.result], outcome);
+/** One string is encoded several times faster than a list of short ones. No header holds a line feed: the parsers refuse them. */
+function headersToText(headers: readonly string[]): string {
+	return headers.join('\n');
 }
 
-function toMessage(list: readonly unknown[]): LinkMessage | undefined {
-	const fields: readonly string[] | undefined = fieldsByType[list[0] as LinkMessage['type']];
-	if (fields === undefined) {
-		return undefined;
-	}
-
-	const message = fromList('type', fields, list);
-	if (Array.isArray(message.outcome)) {
-		const resultFields: readonly string[] | undefined = fieldsByResult[message.outcome[0] as RunOutcome['result']];
-		if (resultFields === undefined) {
-			throw new ProtocolError(`result "${String(message.outcome[0])}" of a peer is unknown`);
-		}
-
-		message.outcome = fromList('result', resultFields, message.outcome);
-	}
-
-	return message as LinkMessage;
+function headersFromText(text: string): string[] {
+	return text === '' ? [] : text.split('\n');
 }
 
-function fromList(firstField: string, fields: readonly string[], list: readonly unknown[]): Record<string, unknown> {
-	const object: Record<string, unknown> = {[firstField]: list[0]};
-	for (const [index, field] of fields.entries()) {
-		// The codec has no `undefined`; absent values arrive as null.
-		object[field] = list[index + 1] ?? undefined;
-	}
+function loadToList({active, waiting, limit, meanMilliseconds, successShare}: LoadReport): WireLoad {
+	return [active, waiting, limit, meanMilliseconds, successShare];
+}
 
-	return object;
+function loadFromList([active, waiting, limit, meanMilliseconds, successShare]: WireLoad): LoadReport {
+	return {
+		active, waiting, limit, meanMilliseconds, successShare,
+	};
 }
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -1,17 +1,18 @@
 /**
- * One link to another node: a WebSocket whose messages are batched per turn of the event loop. A link that owes an answer
+ * One link to another node, whose messages are batched per turn of the event loop. A link that owes an answer
  * and stays silent is closed, because a cut or a machine without power closes nothing.
  */
-import {type Buffer} from 'node:buffer';
+import type {Buffer} from 'node:buffer';
+import type {Socket} from 'node:net';
 import {LinkClock} from '@hemlockthread/wire';
-import {WebSocket} from 'ws';
 import type {CallsByRoute} from './call-profile.js';
 import type {Clock} from './clock.js';
 import {doNothing} from './do-nothing.js';
 import type {StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
+import {FrameRole, FrameSocket, type FrameRoleName} from './frame-socket.js';
 import {
-	decodeMessages, encodeMessages, LinkMessageType, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
+	decodeMessages, encodeFrame, LinkMessageType, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
 } from './link-messages.js';
 
 /** @public */
@@ -34,7 +35,8 @@
 	redialMilliseconds: 500,
 	/** Bytes that may wait in a socket before further requests are refused. */
 	maximumBufferedBytes: 8 * 1024 * 1024,
-	maximumMessageBytes: 80 * 1024 * 1024,
+	/** Longest batch of messages: some answers of the largest size. */
+	maximumFrameBytes: 80 * 1024 * 1024,
 	/** How long a peer may be ahead in revisions before its records are fetched: the service's own notice comes sooner as a rule. */
 	behindMilliseconds: 250,
 } as const;
@@ -80,7 +82,8 @@
 	private readonly linkClock = new LinkClock();
 	private outbox: LinkMessage[] = [];
 	private nextId = 0;
-	private open: boolean;
+	private open = false;
+	private readonly socket: FrameSocket;
 	private closed = false;
 	private lastReceivedAt: number;
 	private lastPingAt = 0;
@@ -133,30 +136,30 @@
 
 	constructor(
 		private readonly peer: string,
-		private readonly socket: WebSocket,
+		socket: Socket,
+		role: FrameRoleName,
 		private readonly local: PeerLocalState,
 		private readonly events: PeerEvents,
 		private readonly clock: Clock,
 		private readonly onClosed: () => void,
 	) {
-		this.open = socket.readyState === WebSocket.OPEN;
 		this.lastReceivedAt = clock.now();
-		socket.binaryType = 'nodebuffer';
-		socket.on('open', () => {
-			this.open = true;
-			this.lastReceivedAt = clock.now();
-			this.events.onLinkChange(peer, 'open', '');
-			this.ping();
-		});
-		socket.on('message', (data: Buffer) => {
-			this.receive(data);
-		});
-		socket.on('error', error => {
-			this.close(error.message);
-		});
-		socket.on('close', () => {
-			this.close('closed by the peer');
-		});
+		this.socket = new FrameSocket(socket, role, {
+			onOpen: () => {
+				this.open = true;
+				this.lastReceivedAt = clock.now();
+				if (role === FrameRole.dialling) {
+					this.events.onLinkChange(peer, 'open', '');
+					this.ping();
+				}
+			},
+			onFrame: bytes => {
+				this.receive(bytes);
+			},
+			onClosed: reason => {
+				this.close(reason);
+			},
+		}, peerLinkOptions.maximumFrameBytes);
 	}
 
 	get isOpen(): boolean {
@@ -172,7 +175,7 @@
 	}
 
 	handOver(request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
-		if (this.socket.bufferedAmount > peerLinkOptions.maximumBufferedBytes) {
+		if (this.socket.bufferedBytes > peerLinkOptions.maximumBufferedBytes) {
 			settle({
 				result: RunResult.notRun, reason: 'link-full', reachedTarget: false, roomInMilliseconds: 0,
 			});
@@ -240,9 +243,9 @@
 		this.events.onLinkChange(this.peer, 'closed', reason);
 		const wasOpen = this.open;
 		if (reason === 'node stops') {
-			this.socket.close();
+			this.socket.end();
 		} else {
-			this.socket.terminate();
+			this.socket.destroy();
 		}
 
 		for (const cancel of this.running.values()) {
@@ -335,20 +338,13 @@
 	}
 
 	private flush(): void {
+		// What is sent before the connection stands is buffered by the socket.
 		if (this.closed || this.outbox.length === 0) {
 			return;
 		}
 
-		if (!this.open) {
-			// Sent once the connection stands.
-			this.socket.once('open', () => {
-				this.flush();
-			});
-			return;
-		}
-
 		const messages = this.outbox;
 		this.outbox = [];
-		this.socket.send(encodeMessages(messages));
+		this.socket.send(encodeFrame(messages));
 	}
 }
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -2,10 +2,11 @@
  * All links of a node: it dials the node beside each instance, and accepts the links of others. Requests go over dialled links
  * only, so that each side has its own view of whether the other answers.
  */
-import {WebSocket, WebSocketServer} from 'ws';
+import {connect, createServer, type Server} from 'node:net';
 import type {Clock} from './clock.js';
 import {doNothing} from './do-nothing.js';
 import type {Address} from './fleet-model.js';
+import {FrameRole} from './frame-socket.js';
 import {RunResult, type RunOutcome} from './link-messages.js';
 import {
 	PeerLink, peerLinkOptions, type CancelHandOver, type HandOver, type PeerEvents, type PeerLocalState,
@@ -20,25 +21,22 @@
 	private readonly dialled = new Map<string, PeerLink>();
 	private readonly accepted = new Set<PeerLink>();
 	private readonly failedUntil = new Map<string, number>();
-	private server: WebSocketServer | undefined;
+	private server: Server | undefined;
 	private cancelCheck: (() => void) | undefined;
 
 	constructor(private readonly local: PeerLocalState, private readonly events: PeerEvents, private readonly clock: Clock) {}
 
 	async listen(address: Address): Promise<void> {
-		const server = new WebSocketServer({
-			host: address.host, port: address.port, perMessageDeflate: false, maxPayload: peerLinkOptions.maximumMessageBytes, skipUTF8Validation: true,
-		});
-		this.server = server;
-		server.on('connection', (socket, request) => {
-			const link: PeerLink = new PeerLink(`${request.socket.remoteAddress ?? 'unknown'}`, socket, this.local, this.events, this.clock, () => {
+		const server = createServer({noDelay: true}, socket => {
+			const link: PeerLink = new PeerLink(socket.remoteAddress ?? 'unknown', socket, FrameRole.accepting, this.local, this.events, this.clock, () => {
 				this.accepted.delete(link);
 			});
 			this.accepted.add(link);
 		});
+		this.server = server;
 		await new Promise<void>((resolve, reject) => {
-			server.once('listening', resolve);
 			server.once('error', reject);
+			server.listen(address.port, address.host, resolve);
 		});
 		this.scheduleCheck();
 	}
@@ -111,14 +109,16 @@
 			return undefined;
 		}
 
-		const socket = new WebSocket(`ws://${key}`, {
-			perMessageDeflate: false, handshakeTimeout: peerLinkOptions.connectTimeoutMilliseconds, skipUTF8Validation: true,
-			maxPayload: peerLinkOptions.maximumMessageBytes,
-		});
-		const link = new PeerLink(key, socket, this.local, this.events, this.clock, () => {
+		const socket = connect({host: address.host, port: address.port, noDelay: true});
+		const link: PeerLink = new PeerLink(key, socket, FrameRole.dialling, this.local, this.events, this.clock, () => {
 			this.dialled.delete(key);
 			this.failedUntil.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
 		});
+		const cancelTimeout = this.clock.after(peerLinkOptions.connectTimeoutMilliseconds, () => {
+			link.close('connecting took too long');
+		});
+		socket.once('connect', cancelTimeout);
+		socket.once('close', cancelTimeout);
 		this.dialled.set(key, link);
 		return link;
 	}
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -293,11 +293,6 @@
 
 	private noteChange(change: RecordChange): void {
 		this.log.line('belief', change);
-		const {policy} = this.records;
-		if (policy !== undefined) {
-			this.entry.applyLimits(policy.limits);
-		}
-
 		const instances = this.records.instances();
 		this.instanceByHost = new Map(instances.map(instance => [instance.address.host, instance.name]));
 		this.placement.retain(new Set(instances.map(instance => instance.name)));
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -11,6 +11,7 @@
 import {HTTPParser} from 'http-parser-js';
 import type {Clock} from './clock.js';
 import type {Address} from './fleet-model.js';
+import {AnswerParser, hasUnreadBytes, type ParsedAnswer} from './http-parsers.js';
 import {headerValue, type HeaderList} from './message-headers.js';
 
 /** @public */
@@ -61,39 +62,8 @@
 /** Ends the request at the target. @public */
 export type CancelRequest = () => void;
 
-const {kOnHeadersComplete} = HTTPParser;
-const {kOnBody} = HTTPParser;
-const {kOnMessageComplete} = HTTPParser;
-HTTPParser.encoding = 'latin1';
+const {kOnHeadersComplete, kOnBody, kOnMessageComplete} = HTTPParser;
 const digits = /^\d{1,15}$/v;
-const chunkSize = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/iv;
-
-type ParserState = {
-	offset: number;
-	end: number;
-	state: string;
-	body_bytes: number;
-	consumeLine(): string | undefined;
-};
-type AnswerInfo = {statusCode: number; headers: string[]; shouldKeepAlive: boolean};
-
-class StrictParser extends HTTPParser {}
-
-// The library declares its parsing steps as private. It takes a malformed chunk size as the end of the body, which would
-// make a cut answer look whole.
-(StrictParser.prototype as unknown as {BODY_CHUNKHEAD: (this: ParserState) => void}).BODY_CHUNKHEAD = function () {
-	const line = this.consumeLine();
-	if (line === undefined) {
-		return;
-	}
-
-	if (!chunkSize.test(line)) {
-		throw new Error('malformed chunk size');
-	}
-
-	this.body_bytes = Number.parseInt(line, 16);
-	this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
-};
 
 type Exchange = {request: TargetRequest; settle(outcome: TargetOutcome): void};
 
@@ -174,7 +144,7 @@
 
 class TargetConnection {
 	private readonly socket: Socket;
-	private readonly parser = new StrictParser(HTTPParser.RESPONSE);
+	private readonly parser = new AnswerParser(HTTPParser.RESPONSE);
 	private readonly attemptHeader: string;
 	private exchange: Exchange | undefined;
 	private connected = false;
@@ -183,7 +153,7 @@
 	/** True once this connection must not carry another request. */
 	private spoilt = false;
 	private endedByConnection = false;
-	private info: AnswerInfo | undefined;
+	private info: ParsedAnswer | undefined;
 	private chunks: Buffer[] = [];
 	private receivedBytes = 0;
 	private idleUntil = Number.POSITIVE_INFINITY;
@@ -319,8 +289,7 @@
 		this.chunks = [];
 		this.receivedBytes = 0;
 		const {exchange} = this;
-		const {offset, end} = this.parser as unknown as ParserState;
-		if (offset < end || !info.shouldKeepAlive) {
+		if (hasUnreadBytes(this.parser) || !info.shouldKeepAlive) {
 			this.spoilt = true;
 		}
 
@@ -344,7 +313,7 @@
 	}
 
 	/** Keeps the connection for the next request, or closes it. */
-	private rest(info: AnswerInfo): void {
+	private rest(info: ParsedAnswer): void {
 		if (this.spoilt || this.socket.writableLength > 0) {
 			this.destroy();
 			return;
