sidecar: Earn no repeats from calls whose parent has ended

Cause: a call that arrives after its parent ended at the target counted as a request of a client, so its service's budget for repeats grew by requests that no client sent. Change: only requests without a parent in their id are counted. The test fails before: the failing request was repeated on the budget of 50 such calls.

--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -81,7 +81,7 @@
 	};
 	flows = new RequestFlows({
 		service: 'entry', targetAddress: {host: 'own', port: 80}, peerPort: 1, headers, records, profile, clock,
-		placement: new Placement('a', clock, () => 0.5), parentOfCall: () => undefined,
+		placement: new Placement('a', clock, () => 0.5), parentOfCall: attempt => attempt.split('.', 2).length > 1 ? attempt.split('.', 1)[0] : undefined,
 		budget: new RetryBudget({
 			ratio: 0.2, slack, windowMilliseconds: 10_000, nodes: () => 1, clock,
 		}),
@@ -96,10 +96,10 @@
 	});
 }
 
-function ask(path: string): {answers: EntryAnswer[]; leave: () => void} {
+function ask(path: string, attempt = 'a1'): {answers: EntryAnswer[]; leave: () => void} {
 	const answers: EntryAnswer[] = [];
 	const leave = flows.handle({
-		method: 'GET', host: 'shop', path, headers: ['X-Attempt', 'a1'], body: undefined, attempt: 'a1', limitMilliseconds: 5000, receivedAt: clock.now(),
+		method: 'GET', host: 'shop', path, headers: ['X-Attempt', attempt], body: undefined, attempt, limitMilliseconds: 5000, receivedAt: clock.now(),
 	}, answer => {
 		answers.push(answer);
 	});
@@ -174,6 +174,19 @@
 	expect({sent: sent.length, status: answers[0]!.status}).toEqual({sent: 1, status: 500});
 });
 
+it('calls whose parent has ended earn no budget for repeats', () => {
+	slack = 0;
+	build(['one', 'two']);
+	for (let call = 0; call < 50; call += 1) {
+		ask('/view/', `ended.${call}`);
+		sent.at(-1)!.settle(answered(200));
+	}
+
+	const {answers} = ask('/view/', 'root');
+	sent.at(-1)!.settle(answered(500));
+	expect({sent: sent.length, status: answers[0]!.status}).toEqual({sent: 51, status: 500});
+});
+
 it('without an instance the request is refused and did not run', () => {
 	build([]);
 	expect(ask('/book/').answers[0]!.status).toBe(503);
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -140,7 +140,11 @@
 		if (fromTarget) {
 			this.parts.profile.noteCall(running.route, route.name);
 		} else {
-			this.parts.budget.noteRequest(service);
+			// A call whose parent has ended is no request of a client, so it allows no repeats.
+			if (parent === undefined) {
+				this.parts.budget.noteRequest(service);
+			}
+
 			const cause = this.parts.admission.refusingService(route.rank, this.workOf(route, service).keys());
 			if (cause !== undefined) {
 				this.refuseAtRoot(request, route, cause, respond);
