sidecar: Bound the age of the first requests on a link

Cause: a request on a new link whose clocks are not related yet was taken as sent at the same moment, so that only the sender's own limit guarded one that was held up. Change: it is at most as old as the connection, and what waited for the connection is stamped again once it stands. The test fails before: an age of 0 for a request held for 300 ms.

--- a/packages/sidecar/src/lib/http-parsers.ts
+++ b/packages/sidecar/src/lib/http-parsers.ts
@@ -8,7 +8,7 @@
 
 const chunkSize = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/iv;
 /** A field line by RFC 9112, section 5: a token, a colon at once, and a value without control characters; no folded lines. */
-const fieldLine = /^(?<name>[\w!#$%\u0026'*+\-.\^`\|~]+):[ \t]*(?<value>[\t\u0020-\u007E\u0080-\u00FF]*?)[ \t]*$/v;
+const fieldLine = /^(?<name>[\w!#$%\u0026'*+\-.`\|~^]+):[ \t]*(?<value>[\t\u0020-\u007E\u0080-\u00FF]*?)[ \t]*$/v;
 
 /** Head of an answer as the library gives it. @internal */
 export type ParsedAnswer = {statusCode: number; headers: string[]; shouldKeepAlive: boolean};
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -86,6 +86,7 @@
 	private readonly socket: FrameSocket;
 	private closed = false;
 	private lastReceivedAt: number;
+	private readonly startedAt: number;
 	private lastPingAt = 0;
 	private reportedAt = Number.NEGATIVE_INFINITY;
 	private pingedAt: number | undefined;
@@ -143,14 +144,17 @@
 		private readonly clock: Clock,
 		private readonly onClosed: () => void,
 	) {
-		this.lastReceivedAt = clock.now();
+		this.startedAt = clock.now();
+		this.lastReceivedAt = this.startedAt;
 		this.socket = new FrameSocket(socket, role, {
 			onOpen: () => {
 				this.open = true;
 				this.lastReceivedAt = clock.now();
 				if (role === FrameRole.dialling) {
 					this.events.onLinkChange(peer, 'open', '');
+					this.outbox = this.outbox.map(message => this.restamped(message));
 					this.ping();
+					this.flush();
 				}
 			},
 			onFrame: bytes => {
@@ -277,10 +281,12 @@
 	}
 
 	private receiveHandOver(message: HandOverMessage): void {
-		const age = this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		const bound = this.linkClock.age(message.sentAt, message.heard, this.lastReceivedAt);
+		// Before the clocks are related, a message is at most as old as the connection: nothing is stamped before it stands.
+		const age = Number.isFinite(bound) ? bound : this.lastReceivedAt - this.startedAt;
 		const {id} = message;
 		let answered = false;
-		const cancel = this.events.onHandOver(message, Number.isFinite(age) ? age : 0, outcome => {
+		const cancel = this.events.onHandOver(message, age, outcome => {
 			answered = true;
 			this.running.delete(id);
 			this.send({
@@ -320,6 +326,18 @@
 		return this.local.load();
 	}
 
+	/** A request that waited for the connection is sent with the time that it has left then. */
+	private restamped(message: LinkMessage): LinkMessage {
+		if (message.type !== LinkMessageType.handOver) {
+			return message;
+		}
+
+		const waited = this.clock.now() - message.sentAt;
+		return {
+			...message, ...this.stamp(), remainingMilliseconds: message.remainingMilliseconds - waited, usefulMilliseconds: message.usefulMilliseconds - waited,
+		};
+	}
+
 	private stamp(): {sentAt: number; heard: number | undefined} {
 		return {sentAt: this.clock.now(), heard: this.linkClock.heard};
 	}
@@ -338,8 +356,7 @@
 	}
 
 	private flush(): void {
-		// What is sent before the connection stands is buffered by the socket.
-		if (this.closed || this.outbox.length === 0) {
+		if (this.closed || !this.open || this.outbox.length === 0) {
 			return;
 		}
 
--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -30,6 +30,8 @@
 let far: Side;
 let relay: Server;
 let silent = false;
+/** Time for which the relay holds bytes. */
+let heldMilliseconds = 0;
 const sockets = new Set<Socket>();
 
 /** Passes bytes on, unless the relay is silent. */
@@ -38,7 +40,9 @@
 	from.on('error', () => undefined);
 	from.on('data', bytes => {
 		if (!silent) {
-			to.write(bytes);
+			setTimeout(() => {
+				to.write(bytes);
+			}, heldMilliseconds);
 		}
 	});
 	from.on('close', () => {
@@ -74,6 +78,7 @@
 
 beforeEach(async () => {
 	silent = false;
+	heldMilliseconds = 0;
 	near = createSide();
 	far = createSide();
 	const free = createServer().listen(0, host);
@@ -119,6 +124,17 @@
 		expect(far.ages[0]).toBeLessThan(50);
 	});
 
+	it('that was held on a new link arrives with an age that covers it', async () => {
+		const other = createSide();
+		heldMilliseconds = 300;
+		far.answer = {result: 'may-have-run', reason: 'x'};
+		await new Promise(resolve => {
+			other.links.handOver(address, request, resolve);
+		});
+		other.links.close();
+		expect(far.ages[0]).toBeGreaterThan(250);
+	});
+
 	it('that is cancelled ends at the peer', async () => {
 		const cancel = near.links.handOver(address, request, () => undefined);
 		await delay(50);
