--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -72,6 +72,13 @@
 		| {result: typeof RunResult.notRun; reason: string; reachedTarget: boolean; roomInMilliseconds: number}
 		| {result: typeof RunResult.mayHaveRun; reason: string};
 
+/** Outcome of a request that no target has seen and none will. */
+export function neverSent(reason: string, roomInMilliseconds = 0): RunOutcome {
+	return {
+		result: RunResult.notRun, reason, reachedTarget: false, roomInMilliseconds,
+	};
+}
+
 /** @public */
 export type ResultMessage = {
 	type: typeof LinkMessageType.result; id: number; outcome: RunOutcome;
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -12,7 +12,7 @@
 import type {RevisionSummary} from './fleet-records.js';
 import {FrameRole, FrameSocket, type FrameRoleName} from './frame-socket.js';
 import {
-	decodeMessages, encodeFrame, LinkMessageType, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
+	decodeMessages, encodeFrame, LinkMessageType, neverSent, RunResult, type HandOverMessage, type LinkMessage, type LoadReport, type RunOutcome,
 } from './link-messages.js';
 
 /** @public */
@@ -180,9 +180,7 @@
 
 	handOver(request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
 		if (this.socket.bufferedBytes > peerLinkOptions.maximumBufferedBytes) {
-			settle({
-				result: RunResult.notRun, reason: 'link-full', reachedTarget: false, roomInMilliseconds: 0,
-			});
+			settle(neverSent('link-full'));
 			return doNothing;
 		}
 
@@ -260,11 +258,7 @@
 		const pending = [...this.pending.values()];
 		this.pending.clear();
 		for (const {settle} of pending) {
-			settle(wasOpen
-				? lost
-				: {
-					result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
-				});
+			settle(wasOpen ? lost : neverSent('peer-unreachable'));
 		}
 	}
 
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -7,7 +7,7 @@
 import {doNothing} from './do-nothing.js';
 import type {Address} from './fleet-model.js';
 import {FrameRole} from './frame-socket.js';
-import {RunResult, type RunOutcome} from './link-messages.js';
+import {neverSent, type RunOutcome} from './link-messages.js';
 import {
 	PeerLink, peerLinkOptions, type CancelHandOver, type HandOver, type PeerEvents, type PeerLocalState,
 } from './peer-link.js';
@@ -59,9 +59,7 @@
 	handOver(address: Address, request: HandOver, settle: (outcome: RunOutcome) => void): CancelHandOver {
 		const link = this.linkTo(address);
 		if (link === undefined) {
-			settle({
-				result: RunResult.notRun, reason: 'peer-unreachable', reachedTarget: false, roomInMilliseconds: 0,
-			});
+			settle(neverSent('peer-unreachable'));
 			return doNothing;
 		}
 
--- a/packages/sidecar/src/lib/placement.ts
+++ b/packages/sidecar/src/lib/placement.ts
@@ -39,7 +39,7 @@
 } as const;
 
 /** @public */
-export type InstanceOutcome = 'served' | 'failed' | 'unreachable' | 'misdirected';
+export type InstanceOutcome = 'served' | 'failed' | 'misdirected';
 
 type InstanceState = {
 	load: LoadReport | undefined;
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -12,12 +12,15 @@
 import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
 import {DecisionLog} from './decision-log.js';
+import {doNothing} from './do-nothing.js';
 import {EntryListener} from './entry-listener.js';
 import type {
 	Address, HeaderNames, ParentOfCall, RecordDecoder,
 } from './fleet-model.js';
 import {FleetRecords, type RecordChange} from './fleet-records.js';
-import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
+import {
+	neverSent, RunResult, type LoadReport, type RunOutcome,
+} from './link-messages.js';
 import type {HandOver} from './peer-link.js';
 import {PeerLinks} from './peer-links.js';
 import {Placement} from './placement.js';
@@ -254,10 +257,8 @@
 
 	private runForPeer(request: HandOver, ageMilliseconds: number, answer: (outcome: RunOutcome) => void): () => void {
 		if (this.leaving) {
-			answer({
-				result: RunResult.notRun, reason: 'leaving', reachedTarget: false, roomInMilliseconds: 0,
-			});
-			return () => undefined;
+			answer(neverSent('leaving'));
+			return doNothing;
 		}
 
 		const now = this.clock.now();
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -6,7 +6,9 @@
 import type {CallProfile} from './call-profile.js';
 import type {Clock} from './clock.js';
 import type {Address, HeaderNames} from './fleet-model.js';
-import {RunResult, type LoadReport, type RunOutcome} from './link-messages.js';
+import {
+	neverSent, RunResult, type LoadReport, type RunOutcome,
+} from './link-messages.js';
 import {headerValue} from './message-headers.js';
 import {TargetConnections, type TargetOutcome} from './target-connection.js';
 import {TargetQueue} from './target-queue.js';
@@ -78,9 +80,7 @@
 				cancel = this.start(work, settle);
 			},
 			refuse(roomInMilliseconds) {
-				settle({
-					result: RunResult.notRun, reason: 'overloaded', reachedTarget: false, roomInMilliseconds,
-				});
+				settle(neverSent('overloaded', roomInMilliseconds));
 			},
 		});
 		return () => {
@@ -143,9 +143,7 @@
 	private judge(outcome: TargetOutcome): RunOutcome {
 		if (outcome.type === 'unsent') {
 			this.noteOutcome(0);
-			return {
-				result: RunResult.notRun, reason: `target-unreachable: ${outcome.cause}`, reachedTarget: false, roomInMilliseconds: 0,
-			};
+			return neverSent(`target-unreachable: ${outcome.cause}`);
 		}
 
 		if (outcome.type === 'lost') {
