sidecar: Give no requests to a peer whose link was lost until another stands

After a lost link, each request that chose the peer dialled anew and waited up to 500 ms for a connection into the cut, up to three times. Change: such a peer is left out at once; housekeeping dials in the background and it counts again when a link stands. The test fails before (accepts the peer again after 500 ms).

--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -65,6 +65,13 @@
 	records(): StoredRecord[];
 };
 
+/** What the owner of a link is told. @internal */
+export type LinkLifecycle = {
+	/** Called for a dialled link once it stands. */
+	onOpen(): void;
+	onClosed(): void;
+};
+
 type Pending = {settle(outcome: RunOutcome): void};
 type Handlers = {[Message in LinkMessage as Message['type']]: (message: Message) => void};
 
@@ -142,7 +149,7 @@
 		private readonly local: PeerLocalState,
 		private readonly events: PeerEvents,
 		private readonly clock: Clock,
-		private readonly onClosed: () => void,
+		private readonly lifecycle: LinkLifecycle,
 	) {
 		this.startedAt = clock.now();
 		this.lastReceivedAt = this.startedAt;
@@ -151,6 +158,7 @@
 				this.open = true;
 				this.lastReceivedAt = clock.now();
 				if (role === FrameRole.dialling) {
+					this.lifecycle.onOpen();
 					this.events.onLinkChange(peer, 'open', '');
 					this.outbox = this.outbox.map(message => this.restamped(message));
 					this.ping();
@@ -241,7 +249,7 @@
 		}
 
 		this.closed = true;
-		this.onClosed();
+		this.lifecycle.onClosed();
 		this.events.onLinkChange(this.peer, 'closed', reason);
 		const wasOpen = this.open;
 		if (reason === 'node stops') {
--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -166,6 +166,24 @@
 	});
 });
 
+it('a peer whose link was lost gets no new requests until another link stands', async () => {
+	relay.close();
+	for (const socket of sockets) {
+		socket.destroy();
+	}
+
+	await delay(peerLinkOptions.redialMilliseconds + 100);
+	expect(near.links.accepts(address)).toBe(false);
+	near.links.ensure(address);
+	expect(near.links.accepts(address)).toBe(false);
+	await delay(50);
+	relay.listen(address.port, host);
+	await delay(peerLinkOptions.redialMilliseconds + 100);
+	near.links.ensure(address);
+	await delay(100);
+	expect(near.links.accepts(address)).toBe(true);
+});
+
 it('a peer that leaves gets no new requests', async () => {
 	far.leaving = true;
 	far.links.announce();
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -21,6 +21,8 @@
 	private readonly dialled = new Map<string, PeerLink>();
 	private readonly accepted = new Set<PeerLink>();
 	private readonly failedUntil = new Map<string, number>();
+	/** Peers whose last link ended and to which none stands since. */
+	private readonly lost = new Set<string>();
 	private server: Server | undefined;
 	private cancelCheck: (() => void) | undefined;
 
@@ -28,8 +30,11 @@
 
 	async listen(address: Address): Promise<void> {
 		const server = createServer({noDelay: true}, socket => {
-			const link: PeerLink = new PeerLink(socket.remoteAddress ?? 'unknown', socket, FrameRole.accepting, this.local, this.events, this.clock, () => {
-				this.accepted.delete(link);
+			const link: PeerLink = new PeerLink(socket.remoteAddress ?? 'unknown', socket, FrameRole.accepting, this.local, this.events, this.clock, {
+				onOpen: doNothing,
+				onClosed: () => {
+					this.accepted.delete(link);
+				},
 			});
 			this.accepted.add(link);
 		});
@@ -47,12 +52,14 @@
 	}
 
 	/**
-	 * True unless the peer leaves, owes an answer to a ping, or could not be dialled lately. What is handed over into a cut is
-	 * lost, and its caller can't be told that it did not run.
+	 * True unless the peer leaves, owes an answer to a ping, or has no link since the last one ended. What is handed over into
+	 * a cut is lost, and its caller can't be told that it did not run; a request that waits for a connection into a cut loses
+	 * the time in which another instance could serve it.
 	 */
 	accepts(address: Address): boolean {
-		const link = this.dialled.get(keyOf(address));
-		return link === undefined ? !this.isUnreachable(address) : !link.remoteLeaving && !link.isSuspect;
+		const key = keyOf(address);
+		const link = this.dialled.get(key);
+		return link?.isOpen === true ? !link.remoteLeaving && !link.isSuspect : !this.lost.has(key);
 	}
 
 	/** Hands a request to a peer; settles once unless cancelled. Nothing was sent where it settles with `not-run`. */
@@ -108,9 +115,15 @@
 		}
 
 		const socket = connect({host: address.host, port: address.port, noDelay: true});
-		const link: PeerLink = new PeerLink(key, socket, FrameRole.dialling, this.local, this.events, this.clock, () => {
-			this.dialled.delete(key);
-			this.failedUntil.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
+		const link: PeerLink = new PeerLink(key, socket, FrameRole.dialling, this.local, this.events, this.clock, {
+			onOpen: () => {
+				this.lost.delete(key);
+			},
+			onClosed: () => {
+				this.dialled.delete(key);
+				this.lost.add(key);
+				this.failedUntil.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
+			},
 		});
 		const cancelTimeout = this.clock.after(peerLinkOptions.connectTimeoutMilliseconds, () => {
 			link.close('connecting took too long');
