operator: Trace a request through the logs of the nodes

hemlockthread trace reads logs of one or many nodes and prints the way of a request, what happened around it and what its final reason means. A test replays the three cases of docs/OPERATIONS.md on the stand-ins and follows them to the cause.

--- a/packages/operator/src/lib/run-cli.ts
+++ b/packages/operator/src/lib/run-cli.ts
@@ -10,6 +10,7 @@
 import {FollowCommand} from './follow-command.js';
 import {exitStatus} from './operator-command.js';
 import {PublishedCommand} from './published-command.js';
+import {TraceCommand} from './trace-command.js';
 
 const commands = [
 	CheckPolicyCommand,
@@ -20,6 +21,7 @@
 	DumpCommand,
 	FollowCommand,
 	ExplainCommand,
+	TraceCommand,
 	Builtins.HelpCommand,
 	Builtins.VersionCommand,
 ];
--- a/packages/sidecar/src/lib/decision-log.ts
+++ b/packages/sidecar/src/lib/decision-log.ts
@@ -40,7 +40,8 @@
 /** @public */
 export type LineFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
-type Write = (text: string, done: (error: Error | null) => void) => void;
+/** Writes text and calls back once it is written or has failed. @public */
+export type WriteLog = (text: string, done: (error: Error | null) => void) => void;
 
 /**
  * Writes decision lines within the budget.
@@ -60,7 +61,7 @@
 	constructor(
 		private readonly common: LineFields,
 		private readonly clock: Clock,
-		private readonly write: Write = writeStandardOutput,
+		private readonly write: WriteLog = writeStandardOutput,
 	) {
 		this.refilledAt = clock.now();
 		this.reportedAt = this.refilledAt;
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -11,7 +11,7 @@
 import {container as rootContainer, type DependencyContainer} from 'tsyringe';
 import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
-import {DecisionLog} from './decision-log.js';
+import {DecisionLog, type WriteLog} from './decision-log.js';
 import {doNothing} from './do-nothing.js';
 import {EntryListener} from './entry-listener.js';
 import type {
@@ -77,6 +77,8 @@
 	decode: RecordDecoder;
 	parentOfCall: ParentOfCall;
 	clock?: Clock;
+	/** Where log lines go; standard output where it is left out. */
+	writeLog?: WriteLog;
 	createSource(metrics: SidecarMetrics): RecordSource;
 };
 
@@ -129,7 +131,7 @@
 		const {clock} = this;
 		const generator = xoroshiro128plus(randomInt(2 ** 31));
 		const random = () => uniformFloat64(generator);
-		this.log = new DecisionLog({node: settings.node}, clock);
+		this.log = new DecisionLog({node: settings.node}, clock, parts.writeLog);
 		this.records = new FleetRecords(parts.decode, () => clock.now());
 		this.admission = new RootAdmission(random);
 		this.placement = new Placement(settings.failureDomain, clock, random);
