sidecar: Refuse where it enters what needs a service that can't be reached

Change: a request whose learned calls need a service without a reachable ready instance is refused with 503 and asked back after 2 s; unreachable instances count no room. The test fails before (200, the request ran).

--- a/packages/operator/src/lib/trace-command.ts
+++ b/packages/operator/src/lib/trace-command.ts
@@ -21,6 +21,7 @@
 	'no-policy': 'the node knew no policy yet; it had just started or reached neither the configuration service nor a peer',
 	'unknown-route': 'no route of the policy in force fits host and path',
 	'overloaded-below': 'a service that the calls of this request need had no room; it was refused where it entered and did not run',
+	'unreachable-below': 'no instance of a service that the calls of this request need could be reached; it did not run',
 	overloaded: 'the queues of the instances asked could not start it in time; it did not run',
 	'no-instance': 'no ready instance of the service could be reached; it did not run',
 	'peer-unreachable': 'no connection to the node beside the instance; it did not run',
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -26,20 +26,22 @@
 let flows: RequestFlows;
 let sent: Sent[];
 let slack: number;
+let unreachable: Set<string>;
+let profile: CallProfile;
 
 const headers = {
 	attempt: 'x-attempt', remainingTime: 'x-remaining', signature: 'x-signature', expectedInstance: 'x-expected', notRun: 'x-not-run', callerService: 'x-caller',
 };
 
-const route = (name: string, repeatable: boolean): Route => ({
+const route = (name: string, repeatable: boolean, service = 'racks'): Route => ({
 	name, host: 'shop', pathPrefix: `/${name}/`, repeatable, timeoutMilliseconds: 1000, objectiveMilliseconds: 500, maximumTargets: 2, rank: 1,
-	parts: [{service: 'racks', weight: 1}],
+	parts: [{service, weight: 1}],
 });
 
 const decode = (key: string): DecodedRecord => key === 'policy'
 	? {
 		type: 'policy', policy: {
-			version: 1, routes: [route('view', true), route('book', false)], services: new Map([['racks', {name: 'racks', maximumConnections: 9}]]),
+			version: 1, routes: [route('view', true), route('book', false), route('deep', true, 'intake')], services: new Map(['racks', 'intake'].map(name => [name, {name, maximumConnections: 9}])),
 			limits: {
 				maximumHeaderBytes: 1, maximumBodyBytes: 1, headerTimeoutMilliseconds: 1, idleTimeoutMilliseconds: 1,
 			},
@@ -49,7 +51,8 @@
 
 function instance(name: string): TargetInstance {
 	return {
-		name, service: 'racks', address: {host: `host-${name}`, port: 80}, failureDomain: 'a', slots: 4, state: 'ready', startedAtUnixMilliseconds: 0, coldMilliseconds: 0,
+		name, service: name.startsWith('deep') ? 'intake' : 'racks', address: {host: `host-${name}`, port: 80}, failureDomain: 'a', slots: 4, state: 'ready',
+		startedAtUnixMilliseconds: 0, coldMilliseconds: 0,
 	};
 }
 
@@ -57,6 +60,7 @@
 	clock = new FakeClock();
 	sent = [];
 	slack = 100;
+	unreachable = new Set();
 	build(['one', 'two', 'three']);
 });
 
@@ -66,9 +70,9 @@
 		records.apply({key, revision: index + 1, value: '{}'}, 'service');
 	}
 
-	const profile = new CallProfile();
+	profile = new CallProfile();
 	const links = {
-		accepts: () => true,
+		accepts: ({host}: {host: string}) => !unreachable.has(host),
 		handOver(address: {host: string}, request: HandOver, settle: (outcome: RunOutcome) => void) {
 			const entry: Sent = {
 				host: address.host, request, settle, cancelled: false,
@@ -187,6 +191,25 @@
 	expect({sent: sent.length, status: answers[0]!.status}).toEqual({sent: 51, status: 500});
 });
 
+describe('a request whose calls need another service', () => {
+	it.each<[string, string[], number]>([
+		['is refused where it enters while no instance of that service can be reached', ['host-deep-1', 'host-deep-2'], 503],
+		['goes on while one can', ['host-deep-1'], 200],
+	])('%s', (_name, hosts, status) => {
+		build(['one', 'deep-1', 'deep-2']);
+		for (let run = 0; run < 10; run += 1) {
+			profile.noteRun('book');
+			profile.noteCall('book', 'deep');
+		}
+
+		unreachable = new Set(hosts);
+		const {answers} = ask('/book/');
+		sent.at(0)?.settle(answered(200));
+		expect(answers.map(answer => answer.status)).toEqual([status]);
+		expect(sent).toHaveLength(status === 200 ? 1 : 0);
+	});
+});
+
 it('without an instance the request is refused and did not run', () => {
 	build([]);
 	expect(ask('/book/').answers[0]!.status).toBe(503);
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -41,6 +41,12 @@
 	minimumRetryAfterMilliseconds: 100,
 	/** Mean wait told to callers that are refused for a service deeper in the graph: longer than its queue takes to shrink. */
 	rootRetryAfterMilliseconds: 500,
+	/**
+	 * Wait told to callers while a service below can't be reached: cuts last for seconds, and callers come back once or twice.
+	 */
+	unreachableRetryAfterMilliseconds: 2000,
+	/** Calls of a service per request from which on the request is taken to need it. */
+	likelyCalls: 0.5,
 	/** Time for which the learned calls of a route are not calculated again. */
 	workCacheMilliseconds: 500,
 	/** Wait told to callers while the node knows no policy or reaches no instance. */
@@ -90,6 +96,14 @@
 	random: () => number;
 };
 
+/** Why a request is refused where it enters, for a service below. */
+type RootRefusal = 'overloaded-below' | 'unreachable-below';
+
+const retryAfterByRefusal: Readonly<Record<RootRefusal, number>> = {
+	'overloaded-below': requestFlowOptions.rootRetryAfterMilliseconds,
+	'unreachable-below': requestFlowOptions.unreachableRetryAfterMilliseconds,
+};
+
 const jsonHeaders: HeaderList = ['Content-Type', 'application/json'];
 
 /**
@@ -114,6 +128,17 @@
 		return this.active;
 	}
 
+	/** True where the instance is beside this node or its node accepts requests. */
+	isReachable(instance: TargetInstance): boolean {
+		const {links, peerPort} = this.parts;
+		return this.isOwn(instance) || links.accepts({host: instance.address.host, port: peerPort});
+	}
+
+	isOwn(instance: TargetInstance): boolean {
+		const {targetAddress} = this.parts;
+		return instance.address.host === targetAddress.host && instance.address.port === targetAddress.port;
+	}
+
 	/** Answers a request once. Returns a function to call when the sender left. */
 	handle(request: EntryRequest, respond: (answer: EntryAnswer) => void): () => void {
 		const {records, metrics} = this.parts;
@@ -145,9 +170,16 @@
 				this.parts.budget.noteRequest(service);
 			}
 
-			const cause = this.parts.admission.refusingService(route.rank, this.workOf(route, service).keys());
+			const work = this.workOf(route, service);
+			const cause = this.parts.admission.refusingService(route.rank, work.keys());
 			if (cause !== undefined) {
-				this.refuseAtRoot(request, route, cause, respond);
+				this.refuseAtRoot(request, route, 'overloaded-below', cause, respond);
+				return doNothing;
+			}
+
+			const unreachable = this.unreachableBelow(work, service);
+			if (unreachable !== undefined) {
+				this.refuseAtRoot(request, route, 'unreachable-below', unreachable, respond);
 				return doNothing;
 			}
 		}
@@ -206,13 +238,33 @@
 		});
 	}
 
-	private refuseAtRoot(request: EntryRequest, route: Route, cause: string, respond: (answer: EntryAnswer) => void): void {
+	/**
+	 * A service below that the request will call and of which no instance can be reached, as in a domain that is cut off. The
+	 * request would run and fail at that call, and its caller could not be told that it did not run.
+	 */
+	private unreachableBelow(work: ReadonlyMap<string, number>, ownService: string): string | undefined {
+		const {records} = this.parts;
+		for (const [service, count] of work) {
+			if (service === ownService || count < requestFlowOptions.likelyCalls) {
+				continue;
+			}
+
+			if (!records.instancesOf(service).some(instance => instance.state === 'ready' && this.isReachable(instance))) {
+				return service;
+			}
+		}
+
+		return undefined;
+	}
+
+	/** Refuses before anything ran; the service is the one below that is the cause. */
+	private refuseAtRoot(request: EntryRequest, route: Route, reason: RootRefusal, service: string, respond: (answer: EntryAnswer) => void): void {
 		const {admission, log, metrics} = this.parts;
-		respond(this.refusal('overloaded-below', requestFlowOptions.rootRetryAfterMilliseconds));
-		metrics.countRequest(route.name, 'refused', 'overloaded-below');
+		respond(this.refusal(reason, retryAfterByRefusal[reason]));
+		metrics.countRequest(route.name, 'refused', reason);
 		log.line('request', {
-			id: request.attempt, route: route.name, outcome: 'refused', reason: 'overloaded-below', status: 503, rank: route.rank, congestedService: cause,
-			level: Math.round(100 * admission.levelOf(cause)) / 100,
+			id: request.attempt, route: route.name, outcome: 'refused', reason, status: 503, rank: route.rank, serviceBelow: service,
+			level: Math.round(100 * admission.levelOf(service)) / 100,
 		});
 	}
 }
@@ -270,11 +322,11 @@
 	}
 
 	private attempt(): void {
-		const {records, placement, links, peerPort} = this.parts;
+		const {records, placement} = this.parts;
 		const instance = placement.choose({
 			candidates: records.instancesOf(this.service),
 			excluded: this.tried,
-			isReachable: candidate => this.isOwn(candidate) || links.accepts({host: candidate.address.host, port: peerPort}),
+			isReachable: candidate => this.flows.isReachable(candidate),
 		});
 		if (instance === undefined) {
 			this.conclude(this.lastReason === '' ? 'no-instance' : this.lastReason, requestFlowOptions.unavailableRetryAfterMilliseconds);
@@ -304,7 +356,7 @@
 	private send(instance: TargetInstance, settle: (outcome: RunOutcome) => void): () => void {
 		const {clock, runner, links, peerPort, service} = this.parts;
 		const {request} = this;
-		if (this.isOwn(instance)) {
+		if (this.flows.isOwn(instance)) {
 			const work: TargetWork = {
 				instance: instance.name, route: this.route.name, attempt: request.attempt, callerService: service, rank: this.request.rank, deadlineAt: this.deadlineAt,
 				latestStartAt: this.usefulUntil, method: request.method, path: request.path, headers: this.headers, body: request.body,
@@ -320,11 +372,6 @@
 		}, settle);
 	}
 
-	private isOwn(instance: TargetInstance): boolean {
-		const {targetAddress} = this.parts;
-		return instance.address.host === targetAddress.host && instance.address.port === targetAddress.port;
-	}
-
 	private receive(outcome: RunOutcome): void {
 		if (outcome.result === RunResult.answered) {
 			this.receiveAnswer(outcome);
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -359,7 +359,9 @@
 	private serviceUses(): Map<string, ServiceUse> {
 		const uses = new Map<string, ServiceUse>();
 		for (const instance of this.records.instances()) {
-			const load = this.isOwnTarget(instance.address) ? this.runner.load : this.placement.freshLoadOf(instance.name);
+			// Instances behind a cut have no room for this node, whatever their last report says.
+			const reached = this.flows.isReachable(instance) ? this.placement.freshLoadOf(instance.name) : undefined;
+			const load = this.isOwnTarget(instance.address) ? this.runner.load : reached;
 			if (load === undefined || instance.state !== 'ready') {
 				continue;
 			}
