--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -75,6 +75,9 @@
 			this.abandon();
 			socket.end();
 		});
+		socket.once('finish', () => {
+			this.quietSince = options.clock.now();
+		});
 		// The event `close` follows.
 		socket.on('error', () => {
 			this.abandon();
@@ -105,7 +108,8 @@
 	check(now: number, timeouts: EntryTimeouts): void {
 		const quiet = now - this.quietSince;
 		if (this.ending) {
-			if (this.current === undefined && quiet > timeouts.lingering) {
+			// A slow reader still takes its last answer; only then its side is overdue.
+			if (this.socket.writableFinished && quiet > timeouts.lingering) {
 				this.socket.destroy();
 			}
 		} else if (isInsideHead(this.parser)) {
@@ -139,7 +143,6 @@
 			this.parse(bytes);
 		} catch (error) {
 			this.refuse(error instanceof UnacceptableRequest ? error.status : 400, (error as Error).message);
-
 			return;
 		}
 
--- a/packages/sidecar/src/lib/entry-listener.test.ts
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -257,6 +257,21 @@
 		expect(caller.isEnded()).toBe(true);
 	});
 
+	it('a slow reader still gets its whole last answer', async () => {
+		answerAtOnce = false;
+		const bytes = 16 * 1024 * 1024;
+		const caller = await call();
+		await caller.send(get('/a'));
+		caller.socket.pause();
+		listener.leave();
+		held[0]!.respond({status: 200, headers: [], body: Buffer.alloc(bytes, 'x')});
+		await delay(entryListenerOptions.lingeringMilliseconds + (entryListenerOptions.checkMilliseconds * 2));
+		caller.socket.resume();
+		await delay(500);
+		expect(caller.text().length).toBeGreaterThan(bytes);
+		expect(caller.isEnded()).toBe(true);
+	});
+
 	it('connections without a request end, others stay until their answer', async () => {
 		answerAtOnce = false;
 		const idle = await call();
