sidecar: Read framing headers from a map made once

Cause: the readers stood in an object made for each request, so that a header named __proto__ was looked up as a property of objects and answered 400; the test fails before. The map is made once for the process. The time of a request was taken as the smaller of its arrival and now, which is always its arrival.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -224,12 +224,12 @@
 			return;
 		}
 
-		const {headers, clock} = this.options;
+		const {headers} = this.options;
 		const stated = Number(headerValue(request.headers, headers.remainingTime));
 		const leave = this.options.handle({
 			method: request.method, host: headerValue(request.headers, 'host') ?? '', path: request.path, headers: request.headers,
 			body: request.hasBody ? joined(request.chunks) : undefined, attempt: headerValue(request.headers, headers.attempt) ?? '',
-			limitMilliseconds: Number.isFinite(stated) && stated > 0 ? stated : undefined, receivedAt: Math.min(request.receivedAt, clock.now()),
+			limitMilliseconds: Number.isFinite(stated) && stated > 0 ? stated : undefined, receivedAt: request.receivedAt,
 		}, answer => {
 			this.respond(request, answer);
 		});
@@ -323,38 +323,42 @@
 	}
 }
 
+type Framing = {length: string | undefined; isChunked: boolean; hosts: number};
+type FramingReader = (framing: Framing, value: string, versionMinor: number) => void;
+
+/** Readers of the headers that say where a request belongs and where it ends; a map, because callers choose the names. */
+const framingReaders = new Map<string, FramingReader>([
+	['host', framing => {
+		framing.hosts += 1;
+	}],
+	['content-length', (framing, value) => {
+		if (framing.length !== undefined || !digits.test(value)) {
+			throw new UnacceptableRequest(400, 'malformed content-length');
+		}
+
+		framing.length = value;
+	}],
+	['transfer-encoding', (framing, value, versionMinor) => {
+		if (framing.isChunked || value.toLowerCase() !== 'chunked' || versionMinor === 0) {
+			throw new UnacceptableRequest(400, 'transfer-encoding is not served');
+		}
+
+		framing.isChunked = true;
+	}],
+]);
+
 /**
  * Returns whether a body follows.
  *
  * @throws UnacceptableRequest where two readers could disagree about its end.
  */
 function checkFraming({headers, versionMinor, upgrade}: ParsedRequest): boolean {
-	let length: string | undefined;
-	let isChunked = false;
-	let hosts = 0;
-	const readers: Record<string, (value: string) => void> = {
-		host() {
-			hosts += 1;
-		},
-		'content-length'(value) {
-			if (length !== undefined || !digits.test(value)) {
-				throw new UnacceptableRequest(400, 'malformed content-length');
-			}
-
-			length = value;
-		},
-		'transfer-encoding'(value) {
-			if (isChunked || value.toLowerCase() !== 'chunked' || versionMinor === 0) {
-				throw new UnacceptableRequest(400, 'transfer-encoding is not served');
-			}
-
-			isChunked = true;
-		},
-	};
+	const framing: Framing = {length: undefined, isChunked: false, hosts: 0};
 	for (let index = 0; index < headers.length; index += 2) {
-		readers[headers[index]!.toLowerCase()]?.(headers[index + 1]!);
+		framingReaders.get(headers[index]!.toLowerCase())?.(framing, headers[index + 1]!, versionMinor);
 	}
 
+	const {length, isChunked, hosts} = framing;
 	if (isChunked && (length !== undefined || upgrade)) {
 		throw new UnacceptableRequest(400, 'two lengths');
 	}
--- a/packages/sidecar/src/lib/entry-listener.test.ts
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -123,6 +123,13 @@
 		});
 	});
 
+	it('with headers named like properties of objects', async () => {
+		const caller = await call();
+		await caller.send(get('/a', '__proto__: b\r\nconstructor: c\r\n'));
+		expect(caller.text()).toContain('HTTP/1.1 200 OK');
+		expect(held[0]!.request.headers).toEqual(expect.arrayContaining(['__proto__', 'b', 'constructor', 'c']));
+	});
+
 	it('to HEAD without a body', async () => {
 		const caller = await call();
 		await caller.send(get('/a').replace('GET', 'HEAD'));
