sidecar: Write HTTP messages and join bodies in one place

Field lines, the joined write, the pattern of a length and the joining of body parts stood in the entry and in the connection to the target. Requests to the target with large bodies are now written in two calls instead of being copied; the bytes are the same. The counter of opened connections had no reader.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -7,6 +7,9 @@
 import type {Socket} from 'node:net';
 import {HTTPParser} from 'http-parser-js';
 import type {Clock} from './clock.js';
+import {
+	fieldLines, joinParts, lengthPattern, writeMessage,
+} from './http-messages.js';
 import {
 	isInsideHead, RequestParser, unreadOffset, type ParsedRequest,
 } from './http-parsers.js';
@@ -31,11 +34,8 @@
 /** Times after which a connection is ended, in milliseconds. @internal */
 export type EntryTimeouts = {header: number; idle: number; lingering: number};
 
-/** Answers of up to this size are copied behind their head, so that one write sends both. */
-const joinedBodyBytes = 32 * 1024;
 const statusesWithoutBody = new Set([204, 304]);
 const noneReplaced: ReadonlySet<string> = new Set(['content-length']);
-const digits = /^\d{1,15}$/v;
 const continueLine = 'HTTP/1.1 100 Continue\r\n\r\n';
 
 type ReadRequest = {
@@ -198,7 +198,7 @@
 
 		reading.bodyBytes += length;
 		if (reading.bodyBytes <= this.options.maximumBodyBytes()) {
-			reading.chunks.push(offset === 0 && length === chunk.length ? chunk : chunk.subarray(offset, offset + length));
+			reading.chunks.push(chunk.subarray(offset, offset + length));
 		}
 	}
 
@@ -228,7 +228,7 @@
 		const stated = Number(headerValue(request.headers, headers.remainingTime));
 		const leave = this.options.handle({
 			method: request.method, host: headerValue(request.headers, 'host') ?? '', path: request.path, headers: request.headers,
-			body: request.hasBody ? joined(request.chunks) : undefined, attempt: headerValue(request.headers, headers.attempt) ?? '',
+			body: request.hasBody ? joinParts(request.chunks) : undefined, attempt: headerValue(request.headers, headers.attempt) ?? '',
 			limitMilliseconds: Number.isFinite(stated) && stated > 0 ? stated : undefined, receivedAt: request.receivedAt,
 		}, answer => {
 			this.respond(request, answer);
@@ -274,18 +274,7 @@
 			head += `Content-Length: ${headerValue(headers, 'content-length') ?? '0'}\r\n`;
 		}
 
-		head += '\r\n';
-		if (!hasBody || body === undefined || body.length === 0) {
-			this.socket.write(head, 'latin1');
-		} else if (body.length <= joinedBodyBytes) {
-			const bytes = Buffer.allocUnsafe(head.length + body.length);
-			bytes.write(head, 'latin1');
-			bytes.set(body, head.length);
-			this.socket.write(bytes);
-		} else {
-			this.socket.write(head, 'latin1');
-			this.socket.write(body);
-		}
+		writeMessage(this.socket, `${head}\r\n`, hasBody ? body : undefined);
 	}
 
 	/**
@@ -332,7 +321,7 @@
 		framing.hosts += 1;
 	}],
 	['content-length', (framing, value) => {
-		if (framing.length !== undefined || !digits.test(value)) {
+		if (framing.length !== undefined || !lengthPattern.test(value)) {
 			throw new UnacceptableRequest(400, 'malformed content-length');
 		}
 
@@ -379,16 +368,3 @@
 
 	return size;
 }
-
-function fieldLines(headers: HeaderList): string {
-	let lines = '';
-	for (let index = 0; index < headers.length; index += 2) {
-		lines += `${headers[index]!}: ${headers[index + 1]!}\r\n`;
-	}
-
-	return lines;
-}
-
-function joined(chunks: readonly Buffer[]): Buffer {
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -6,11 +6,14 @@
  * echoes the attempt of the request, because a faulty target may send an answer twice or late. The parser is a library;
  * `node:http` hides which bytes came after an answer, and costs more processor time for each request.
  */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {HTTPParser} from 'http-parser-js';
 import type {Clock} from './clock.js';
 import type {Address} from './fleet-model.js';
+import {
+	fieldLines, joinParts, lengthPattern, writeMessage,
+} from './http-messages.js';
 import {AnswerParser, hasUnreadBytes, type ParsedAnswer} from './http-parsers.js';
 import {headerValue, type HeaderList} from './message-headers.js';
 
@@ -63,7 +66,6 @@
 export type CancelRequest = () => void;
 
 const {kOnHeadersComplete, kOnBody, kOnMessageComplete} = HTTPParser;
-const digits = /^\d{1,15}$/v;
 
 type Exchange = {request: TargetRequest; settle(outcome: TargetOutcome): void};
 
@@ -78,15 +80,9 @@
 export class TargetConnections {
 	private idle: TargetConnection[] = [];
 	private readonly open = new Set<TargetConnection>();
-	private opened = 0;
 
 	constructor(private readonly options: TargetConnectionsOptions) {}
 
-	/** Connections opened since the start. */
-	get openedCount(): number {
-		return this.opened;
-	}
-
 	get openCount(): number {
 		return this.open.size;
 	}
@@ -122,7 +118,6 @@
 	}
 
 	private connect(): TargetConnection {
-		this.opened += 1;
 		const connection: TargetConnection = new TargetConnection(this.options, {
 			onIdle: () => {
 				this.idle.push(connection);
@@ -186,7 +181,7 @@
 		this.parser[kOnHeadersComplete] = info => {
 			this.info = info;
 			const length = headerValue(this.info.headers, 'content-length');
-			if (length !== undefined && !digits.test(length)) {
+			if (length !== undefined && !lengthPattern.test(length)) {
 				throw new Error('malformed content-length');
 			}
 
@@ -199,7 +194,7 @@
 				throw new Error('answer too large');
 			}
 
-			this.chunks.push(offset === 0 && length === chunk.length ? chunk : chunk.subarray(offset, offset + length));
+			this.chunks.push(chunk.subarray(offset, offset + length));
 		};
 
 		this.parser[kOnMessageComplete] = () => {
@@ -240,16 +235,8 @@
 
 		this.written = true;
 		const {method, path, headers, body} = this.exchange.request;
-		let head = `${method} ${path} HTTP/1.1\r\n`;
-		for (let index = 0; index < headers.length; index += 2) {
-			head += `${headers[index]!}: ${headers[index + 1]!}\r\n`;
-		}
-
-		if (body === undefined) {
-			this.socket.write(`${head}\r\n`, 'latin1');
-		} else {
-			this.socket.write(Buffer.concat([Buffer.from(`${head}Content-Length: ${body.length}\r\n\r\n`, 'latin1'), body]));
-		}
+		const length = body === undefined ? '' : `Content-Length: ${body.length}\r\n`;
+		writeMessage(this.socket, `${method} ${path} HTTP/1.1\r\n${fieldLines(headers)}${length}\r\n`, body);
 	}
 
 	private receive(bytes: Buffer): void {
@@ -284,7 +271,7 @@
 
 	private completeMessage(): void {
 		const info = this.info!;
-		const body = this.chunks.length === 1 ? this.chunks[0]! : Buffer.concat(this.chunks);
+		const body = joinParts(this.chunks);
 		this.info = undefined;
 		this.chunks = [];
 		this.receivedBytes = 0;
