sidecar: One text and one comparison of addresses, one record of lost peers

The text of an address was formed in three places, and two functions told whether an instance is the own one. The set of lost peers held what the times of the next dial hold once they are removed as a link opens.

--- a/packages/sidecar/src/lib/fleet-model.ts
+++ b/packages/sidecar/src/lib/fleet-model.ts
@@ -6,6 +6,15 @@
 /** @public */
 export type Address = {host: string; port: number};
 
+/** An address as text, for keys and logs. */
+export function addressText({host, port}: Address): string {
+	return `${host}:${port}`;
+}
+
+export function isSameAddress(first: Address, second: Address): boolean {
+	return first.host === second.host && first.port === second.port;
+}
+
 /** One service among which a route divides its requests. @public */
 export type RoutePart = {service: string; weight: number};
 
--- a/packages/sidecar/src/lib/fleet-records.ts
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -3,8 +3,8 @@
  * order and more than once; the revision decides which one is newer. The policy in force never goes back to an earlier
  * version while the process runs.
  */
-import type {
-	DecodedRecord, RecordDecoder, RoutingPolicy, StoredRecord, TargetInstance,
+import {
+	addressText, type DecodedRecord, type RecordDecoder, type RoutingPolicy, type StoredRecord, type TargetInstance,
 } from './fleet-model.js';
 
 /**
@@ -192,7 +192,7 @@
 			key: record.key, revision: record.revision, source,
 			outcome: usable === undefined ? 'unusable' : 'accepted',
 			detail: decoded.type === 'instance'
-				? `${decoded.instance.service} ${decoded.instance.state} at ${decoded.instance.address.host}:${decoded.instance.address.port}`
+				? `${decoded.instance.service} ${decoded.instance.state} at ${addressText(decoded.instance.address)}`
 				: decoded.reason,
 		});
 	}
@@ -253,7 +253,7 @@
 				return;
 			}
 
-			const key = `${instance.address.host}:${instance.address.port}`;
+			const key = addressText(instance.address);
 			const other = byAddress.get(key);
 			if (other === undefined || other.startedAtUnixMilliseconds < instance.startedAtUnixMilliseconds) {
 				byAddress.set(key, instance);
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -5,7 +5,7 @@
 import {connect, createServer, type Server} from 'node:net';
 import type {Clock} from './clock.js';
 import {doNothing} from './do-nothing.js';
-import type {Address} from './fleet-model.js';
+import {addressText, type Address} from './fleet-model.js';
 import {FrameRole} from './frame-socket.js';
 import {neverSent, type RunOutcome} from './link-messages.js';
 import {
@@ -20,9 +20,8 @@
 export class PeerLinks {
 	private readonly dialled = new Map<string, PeerLink>();
 	private readonly accepted = new Set<PeerLink>();
-	private readonly failedUntil = new Map<string, number>();
-	/** Peers whose last link ended and to which none stands since. */
-	private readonly lost = new Set<string>();
+	/** Peers whose last link ended and to which none stands since, with the time from which they are dialled again. */
+	private readonly redialAt = new Map<string, number>();
 	private server: Server | undefined;
 	private cancelCheck: (() => void) | undefined;
 
@@ -57,9 +56,9 @@
 	 * the time in which another instance could serve it.
 	 */
 	accepts(address: Address): boolean {
-		const key = keyOf(address);
+		const key = addressText(address);
 		const link = this.dialled.get(key);
-		return link?.isOpen === true ? !link.remoteLeaving && !link.isSuspect : !this.lost.has(key);
+		return link?.isOpen === true ? !link.remoteLeaving && !link.isSuspect : !this.redialAt.has(key);
 	}
 
 	/** Hands a request to a peer; settles once unless cancelled. Nothing was sent where it settles with `not-run`. */
@@ -99,30 +98,25 @@
 		return [...this.dialled.entries()].map(([peer, link]) => ({peer, open: link.isOpen, pending: link.pendingCount}));
 	}
 
-	private isUnreachable(address: Address): boolean {
-		return (this.failedUntil.get(keyOf(address)) ?? 0) > this.clock.now();
-	}
-
 	private linkTo(address: Address): PeerLink | undefined {
-		const key = keyOf(address);
+		const key = addressText(address);
 		const held = this.dialled.get(key);
 		if (held !== undefined) {
 			return held;
 		}
 
-		if (this.isUnreachable(address)) {
+		if ((this.redialAt.get(key) ?? 0) > this.clock.now()) {
 			return undefined;
 		}
 
 		const socket = connect({host: address.host, port: address.port, noDelay: true});
 		const link: PeerLink = new PeerLink(key, socket, FrameRole.dialling, this.local, this.events, this.clock, {
 			onOpen: () => {
-				this.lost.delete(key);
+				this.redialAt.delete(key);
 			},
 			onClosed: () => {
 				this.dialled.delete(key);
-				this.lost.add(key);
-				this.failedUntil.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
+				this.redialAt.set(key, this.clock.now() + peerLinkOptions.redialMilliseconds);
 			},
 		});
 		const cancelTimeout = this.clock.after(peerLinkOptions.connectTimeoutMilliseconds, () => {
@@ -148,7 +142,3 @@
 		});
 	}
 }
-
-function keyOf(address: Address): string {
-	return `${address.host}:${address.port}`;
-}
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -10,8 +10,8 @@
 import {LineImportance, type DecisionLog} from './decision-log.js';
 import {doNothing} from './do-nothing.js';
 import type {FleetRecords} from './fleet-records.js';
-import type {
-	Address, HeaderNames, ParentOfCall, Route, RoutingPolicy, TargetInstance,
+import {
+	isSameAddress, type Address, type HeaderNames, type ParentOfCall, type Route, type RoutingPolicy, type TargetInstance,
 } from './fleet-model.js';
 import {RunResult, type RunOutcome} from './link-messages.js';
 import {passedHeaders, type HeaderList} from './message-headers.js';
@@ -134,9 +134,9 @@
 		return this.isOwn(instance) || links.accepts({host: instance.address.host, port: peerPort});
 	}
 
+	/** True for the instance beside this node. */
 	isOwn(instance: TargetInstance): boolean {
-		const {targetAddress} = this.parts;
-		return instance.address.host === targetAddress.host && instance.address.port === targetAddress.port;
+		return isSameAddress(instance.address, this.parts.targetAddress);
 	}
 
 	/** Answers a request once. Returns a function to call when the sender left. */
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -15,7 +15,7 @@
 import {doNothing} from './do-nothing.js';
 import {EntryListener} from './entry-listener.js';
 import type {
-	Address, HeaderNames, ParentOfCall, RecordDecoder,
+	Address, HeaderNames, ParentOfCall, RecordDecoder, TargetInstance,
 } from './fleet-model.js';
 import {FleetRecords, type RecordChange} from './fleet-records.js';
 import {
@@ -303,7 +303,7 @@
 		const instances = this.records.instances();
 		this.instanceByHost = new Map(instances.map(instance => [instance.address.host, instance.name]));
 		this.placement.retain(new Set(instances.map(instance => instance.name)));
-		const own = instances.find(({address}) => this.isOwnTarget(address));
+		const own = instances.find(instance => this.flows.isOwn(instance));
 		if (own !== undefined) {
 			this.runner.queue.setSlots(own.slots);
 		}
@@ -359,9 +359,7 @@
 	private serviceUses(): Map<string, ServiceUse> {
 		const uses = new Map<string, ServiceUse>();
 		for (const instance of this.records.instances()) {
-			// Instances behind a cut have no room for this node, whatever their last report says.
-			const reached = this.flows.isReachable(instance) ? this.placement.freshLoadOf(instance.name) : undefined;
-			const load = this.isOwnTarget(instance.address) ? this.runner.load : reached;
+			const load = this.loadOf(instance);
 			if (load === undefined || instance.state !== 'ready') {
 				continue;
 			}
@@ -376,9 +374,13 @@
 		return uses;
 	}
 
-	private isOwnTarget(address: Address): boolean {
-		const {targetAddress} = this.settings;
-		return address.host === targetAddress.host && address.port === targetAddress.port;
+	/** The newest load of an instance. Behind a cut it has no room for this node, whatever its last report says. */
+	private loadOf(instance: TargetInstance): LoadReport | undefined {
+		if (this.flows.isOwn(instance)) {
+			return this.runner.load;
+		}
+
+		return this.flows.isReachable(instance) ? this.placement.freshLoadOf(instance.name) : undefined;
 	}
 
 	private observeGauges(): void {
