wire: One full jitter and one quiet wait for all that is tried again

They stood in the distribution package, and again in the record follower of the sidecar and, as a formula, in the call forwarder. Bounds and waits are as before.

--- a/packages/distribution/src/lib/control-overlay.ts
+++ b/packages/distribution/src/lib/control-overlay.ts
@@ -3,9 +3,10 @@
  */
 import {performance} from 'node:perf_hooks';
 import type {Metrics} from '@hemlockthread/telemetry';
-import type {PeerConnection} from '@hemlockthread/wire';
+import {
+	fullJitter, waitForAbort, waitQuietly, type PeerConnection,
+} from '@hemlockthread/wire';
 import type {DistributionOptions} from './distribution-options.js';
-import {fullJitter, waitForAbort, waitQuietly} from './full-jitter.js';
 
 /** Opens a connection for control, or returns the one that is open. @public */
 export type ConnectPeer = (address: string) => Promise<PeerConnection>;
--- a/packages/distribution/src/lib/platform-watcher.ts
+++ b/packages/distribution/src/lib/platform-watcher.ts
@@ -3,8 +3,8 @@
  * a node that can't trust its neighbours to bring news.
  */
 import type {Metrics} from '@hemlockthread/telemetry';
+import {fullJitter} from '@hemlockthread/wire';
 import type {DistributionOptions} from './distribution-options.js';
-import {fullJitter} from './full-jitter.js';
 import type {PlatformAnswer, PlatformClient} from './platform-client.js';
 import type {RecordStore} from './record-store.js';
 
--- a/packages/distribution/src/lib/record-distributor.ts
+++ b/packages/distribution/src/lib/record-distributor.ts
@@ -4,10 +4,9 @@
 import {performance} from 'node:perf_hooks';
 import {membershipOptions, type FleetView} from '@hemlockthread/membership';
 import type {Metrics} from '@hemlockthread/telemetry';
-import type {Frame, PeerConnection} from '@hemlockthread/wire';
+import {waitQuietly, type Frame, type PeerConnection} from '@hemlockthread/wire';
 import {ControlOverlay, type ConnectPeer, type Neighbour} from './control-overlay.js';
 import {distributionOptions, type DistributionOptions} from './distribution-options.js';
-import {waitQuietly} from './full-jitter.js';
 import type {PlatformClient} from './platform-client.js';
 import {PlatformWatcher, type PlatformRole} from './platform-watcher.js';
 import {RecordExchange} from './record-exchange.js';
--- a/packages/node/src/lib/call-forwarder.ts
+++ b/packages/node/src/lib/call-forwarder.ts
@@ -7,7 +7,7 @@
 import {
 	CallError, RefusalReason, Verdict, refusalRules, type RefusalReasonName,
 } from '@hemlockthread/verdict';
-import type {AnswerFrame} from '@hemlockthread/wire';
+import {fullJitter, type AnswerFrame} from '@hemlockthread/wire';
 import type {CallExecutor} from './call-executor.js';
 import {refusal, type Call, type CallResult} from './call.js';
 import {
@@ -263,8 +263,10 @@
 	}
 
 	private async backOff(retry: number, call: Call): Promise<void> {
-		const ceiling = Math.min(forwarderOptions.maximumBackoffMilliseconds, forwarderOptions.backoffMilliseconds * (2 ** (retry - 1)));
-		const wait = Math.min(this.timing.random() * ceiling, Math.max(0, call.deadlineAt - this.timing.now()));
+		const backoff = fullJitter(retry - 1, {
+			firstMilliseconds: forwarderOptions.backoffMilliseconds, maximumMilliseconds: forwarderOptions.maximumBackoffMilliseconds,
+		}, () => this.timing.random());
+		const wait = Math.min(backoff, Math.max(0, call.deadlineAt - this.timing.now()));
 		await this.timing.wait(wait, call.signal);
 	}
 
--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -3,7 +3,7 @@
  * A watch whose history was dropped starts again with a listing. Failures back off with full jitter, so that a service
  * that returns is not met by all nodes at once.
  */
-import {setTimeout as delay} from 'node:timers/promises';
+import {fullJitter, waitQuietly, type JitterRange} from '@hemlockthread/wire';
 import type {DecisionLog} from './decision-log.js';
 import type {StoredRecord} from './fleet-model.js';
 import type {FleetRecords} from './fleet-records.js';
@@ -30,11 +30,11 @@
 	watchMilliseconds: 8000,
 	/** Pause after a change, so that changes that come together cost one call. */
 	gatherMilliseconds: 200,
-	firstBackoffMilliseconds: 50,
-	/** The service's users expect nodes to have caught up within about two seconds of its return. */
-	maximumBackoffMilliseconds: 600,
 } as const;
 
+/** Waits after failures; the service's users expect nodes to have caught up within about two seconds of its return. */
+const backoff: JitterRange = {firstMilliseconds: 50, maximumMilliseconds: 600};
+
 /**
  * Follows the records of some prefixes until its signal aborts.
  *
@@ -69,7 +69,7 @@
 
 				failures += 1;
 				this.noteFailure(prefix, failures, error as Error);
-				await this.backOff(failures, signal);
+				await waitQuietly(fullJitter(failures, backoff, this.random), signal);
 			}
 		}
 	}
@@ -95,7 +95,7 @@
 		}
 
 		if (answer.records.length > 0) {
-			await this.pause(recordFollowerOptions.gatherMilliseconds, signal);
+			await waitQuietly(recordFollowerOptions.gatherMilliseconds, signal);
 		}
 
 		return answer.revision;
@@ -120,17 +120,4 @@
 			});
 		}
 	}
-
-	private async backOff(failures: number, signal: AbortSignal): Promise<void> {
-		const ceiling = Math.min(recordFollowerOptions.maximumBackoffMilliseconds, recordFollowerOptions.firstBackoffMilliseconds * (2 ** Math.min(failures, 10)));
-		await this.pause(this.random() * ceiling, signal);
-	}
-
-	private async pause(milliseconds: number, signal: AbortSignal): Promise<void> {
-		try {
-			await delay(milliseconds, undefined, {signal});
-		} catch {
-			// The wait ends early when the node stops; the loop sees the signal.
-		}
-	}
 }
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,5 +1,6 @@
 /**
- * Frames and connections between nodes: WebSocket binary messages that hold one msgpack map each.
+ * Frames and connections between nodes: WebSocket binary messages that hold one msgpack map each; ages across clocks, and
+ * the waits before something is tried again.
  */
 export {
 	FrameType, protocolVersions, frameLimits, type Frame, type HelloFrame, type RequestFrame, type CancelFrame,
@@ -7,6 +8,9 @@
 	type Revisions,
 } from './lib/frames.js';
 export {encodeFrame, decodeFrame} from './lib/codec.js';
+export {
+	fullJitter, waitForAbort, waitQuietly, type JitterRange,
+} from './lib/full-jitter.js';
 export {LinkClock} from './lib/link-clock.js';
 export {
 	PeerConnection, connectionOptions, type ConnectionOptions, type PeerHandlers, type RequestBody, type AnswerBody, type LocalPeer,
--- a/packages/distribution/src/lib/full-jitter.ts
+++ b/packages/wire/src/lib/full-jitter.ts
@@ -3,20 +3,20 @@
  */
 import {setTimeout as delay} from 'node:timers/promises';
 
-/** @internal */
+/** @public */
 export type JitterRange = {firstMilliseconds: number; maximumMilliseconds: number};
 
-/** @internal */
+/** @public */
 export function fullJitter(failures: number, range: JitterRange, random: () => number = Math.random): number {
 	return random() * Math.min(range.maximumMilliseconds, range.firstMilliseconds * (2 ** Math.min(failures, 30)));
 }
 
-/** Waits; returns early and without error when the signal aborts. @internal */
+/** Waits; returns early and without error when the signal aborts. @public */
 export async function waitQuietly(milliseconds: number, signal: AbortSignal): Promise<void> {
 	await delay(milliseconds, undefined, {signal, ref: false}).catch(() => undefined);
 }
 
-/** Waits until one of the signals aborts. @internal */
+/** Waits until one of the signals aborts. @public */
 export async function waitForAbort(...signals: AbortSignal[]): Promise<void> {
 	if (signals.some(signal => signal.aborted)) {
 		return;
