sidecar: Remove what nothing calls, and state that is larger than its use

CallProfile.forget, TargetQueue.refuseAll and RetryBudget.dump had no caller; the container registered parts that nothing resolved. Lacked repeats were kept for eleven seconds and read for two. The two handle caches of the metrics share one function, and the reasons for which this side closes a link are named. Behaviour is as before.

--- a/packages/sidecar/src/lib/call-profile.ts
+++ b/packages/sidecar/src/lib/call-profile.ts
@@ -62,11 +62,6 @@
 		this.merged = undefined;
 	}
 
-	forget(peer: string): void {
-		this.told.delete(peer);
-		this.merged = undefined;
-	}
-
 	/**
 	 * Arrivals that one request causes at each service, its own included. The highest count of any node is taken, so that
 	 * the work of a repeat is never underestimated.
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -81,6 +81,9 @@
 type Pending = {settle(outcome: RunOutcome): void};
 type Handlers = {[Message in LinkMessage as Message['type']]: (message: Message) => void};
 
+/** Reasons for which this side closes links; the first lets what was sent arrive. @internal */
+export const closeReasons = {nodeStops: 'node stops', silent: 'silent', connectTimeout: 'connecting took too long'} as const;
+
 const lost: RunOutcome = {result: RunResult.mayHaveRun, reason: 'link-lost'};
 
 /**
@@ -244,7 +247,7 @@
 		const now = this.clock.now();
 		const silence = now - this.lastReceivedAt;
 		if (this.pingedAt !== undefined && now - this.pingedAt > peerLinkOptions.silenceLimitMilliseconds && silence > peerLinkOptions.silenceLimitMilliseconds) {
-			this.close('silent');
+			this.close(closeReasons.silent);
 			return;
 		}
 
@@ -257,7 +260,7 @@
 	/** Ends an accepted link whose peer no longer pings. */
 	checkAccepted(): void {
 		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.pingMilliseconds + peerLinkOptions.silenceLimitMilliseconds) * 2) {
-			this.close('silent');
+			this.close(closeReasons.silent);
 		}
 	}
 
@@ -270,7 +273,7 @@
 		this.lifecycle.onClosed();
 		this.events.onLinkChange(this.peer, 'closed', reason);
 		const wasOpen = this.open;
-		if (reason === 'node stops') {
+		if (reason === closeReasons.nodeStops) {
 			this.socket.end();
 		} else {
 			this.socket.destroy();
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -9,7 +9,7 @@
 import {FrameRole} from './frame-socket.js';
 import {neverSent, type RunOutcome} from './link-messages.js';
 import {
-	PeerLink, peerLinkOptions, type CancelHandOver, type HandOver, type PeerEvents, type PeerLocalState,
+	closeReasons, PeerLink, peerLinkOptions, type CancelHandOver, type HandOver, type PeerEvents, type PeerLocalState,
 } from './peer-link.js';
 
 /**
@@ -88,7 +88,7 @@
 	close(): void {
 		this.cancelCheck?.();
 		for (const link of [...this.dialled.values(), ...this.accepted]) {
-			link.close('node stops');
+			link.close(closeReasons.nodeStops);
 		}
 
 		this.server?.close();
@@ -120,7 +120,7 @@
 			},
 		});
 		const cancelTimeout = this.clock.after(peerLinkOptions.connectTimeoutMilliseconds, () => {
-			link.close('connecting took too long');
+			link.close(closeReasons.connectTimeout);
 		});
 		socket.once('connect', cancelTimeout);
 		socket.once('close', cancelTimeout);
--- a/packages/sidecar/src/lib/retry-budget.ts
+++ b/packages/sidecar/src/lib/retry-budget.ts
@@ -27,6 +27,8 @@
 /** Buckets of one window. Windows of the bound slide, so more than the window is counted: a bucket, and the life of a grant. */
 const bucketsPerWindow = 10;
 const repeatBuckets = bucketsPerWindow + 2;
+/** Buckets for which peers are told what was lacked. */
+const lackedBuckets = 2;
 /** Share of the allowance that is spent; the rest covers repeats that nodes cause without knowing, such as late duplicates. */
 const spentShare = 0.7;
 
@@ -79,7 +81,7 @@
 			const missing = count - this.available(name, share);
 			if (missing > 0) {
 				isAllowed = false;
-				this.bucketsOf(name).lacked[bucketsPerWindow]! += missing;
+				this.bucketsOf(name).lacked[lackedBuckets - 1]! += missing;
 			}
 		}
 
@@ -99,7 +101,7 @@
 		this.advance();
 		let lacks: Record<string, number> | undefined;
 		for (const [name, {lacked}] of this.services) {
-			const amount = lacked[bucketsPerWindow]! + lacked[bucketsPerWindow - 1]!;
+			const amount = sum(lacked);
 			if (amount > 0) {
 				lacks ??= {};
 				lacks[name] = amount;
@@ -114,10 +116,10 @@
 		this.advance();
 		let given: Record<string, number> | undefined;
 		for (const [name, lacked] of Object.entries(lacks)) {
-			const {lacked: own} = this.bucketsOf(name);
+			const {lacked: own, repeats} = this.bucketsOf(name);
 			const amount = Math.min(lacked, (this.allowance(name) - this.spent(name)) * retryBudgetOptions.givenShare);
-			if (amount >= retryBudgetOptions.smallestGrant && own[bucketsPerWindow] === 0 && own[bucketsPerWindow - 1] === 0) {
-				this.bucketsOf(name).repeats[repeatBuckets - 1]! += amount;
+			if (amount >= retryBudgetOptions.smallestGrant && sum(own) === 0) {
+				repeats[repeatBuckets - 1]! += amount;
 				given ??= {};
 				given[name] = amount;
 			}
@@ -136,12 +138,6 @@
 		}
 	}
 
-	dump(): unknown {
-		return Object.fromEntries([...this.services.keys()].map(name => [name, {
-			spent: this.spent(name), allowance: this.allowance(name), granted: this.grantedLeft(name),
-		}]));
-	}
-
 	private available(service: string, share: number): number {
 		return ((share * this.allowance(service)) - this.spent(service)) + this.grantedLeft(service);
 	}
@@ -201,7 +197,7 @@
 		let buckets = this.services.get(service);
 		if (buckets === undefined) {
 			buckets = {
-				requests: zeros(bucketsPerWindow + 1), repeats: zeros(repeatBuckets), lacked: zeros(bucketsPerWindow + 1), granted: [],
+				requests: zeros(bucketsPerWindow + 1), repeats: zeros(repeatBuckets), lacked: zeros(lackedBuckets), granted: [],
 			};
 			this.services.set(service, buckets);
 		}
--- a/packages/sidecar/src/lib/sidecar-metrics.ts
+++ b/packages/sidecar/src/lib/sidecar-metrics.ts
@@ -44,27 +44,13 @@
 
 	countRequest(route: string, outcome: string, reason: string): void {
 		const key = `${route} ${outcome} ${reason}`;
-		let counter = this.requestCounters.get(key);
-		if (counter === undefined) {
-			counter = this.requests.labels({route: this.routeLabel(route), outcome, reason: reason.split(':', 1)[0]!});
-			if (this.requestCounters.size < maximumHandles) {
-				this.requestCounters.set(key, counter);
-			}
-		}
-
-		counter.inc();
+		handleOf(this.requestCounters, key, () => this.requests.labels({
+			route: this.routeLabel(route), outcome, reason: reason.split(':', 1)[0]!,
+		})).inc();
 	}
 
 	observeRequest(route: string, milliseconds: number): void {
-		let histogram = this.requestDurations.get(route);
-		if (histogram === undefined) {
-			histogram = this.durations.labels({route: this.routeLabel(route)});
-			if (this.requestDurations.size < maximumHandles) {
-				this.requestDurations.set(route, histogram);
-			}
-		}
-
-		histogram.observe(milliseconds / 1000);
+		handleOf(this.requestDurations, route, () => this.durations.labels({route: this.routeLabel(route)})).observe(milliseconds / 1000);
 	}
 
 	countRetry(result: 'sent' | 'denied'): void {
@@ -97,3 +83,18 @@
 		return route;
 	}
 }
+
+/** The handle kept for some labels, or a new one. */
+function handleOf<Handle>(handles: Map<string, Handle>, key: string, create: () => Handle): Handle {
+	const kept = handles.get(key);
+	if (kept !== undefined) {
+		return kept;
+	}
+
+	const handle = create();
+	if (handles.size < maximumHandles) {
+		handles.set(key, handle);
+	}
+
+	return handle;
+}
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -4,11 +4,9 @@
 import {randomInt} from 'node:crypto';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {setTimeout as delay} from 'node:timers/promises';
-import 'reflect-metadata';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 import {redact} from '@hemlockthread/telemetry';
-import {container as rootContainer, type DependencyContainer} from 'tsyringe';
 import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
 import {DecisionLog, type WriteLog} from './decision-log.js';
@@ -105,7 +103,6 @@
 	private readonly clock: Clock;
 	private readonly settings: SidecarSettings;
 	private readonly log: DecisionLog;
-	private readonly container: DependencyContainer = rootContainer.createChildContainer();
 	private readonly metrics = new SidecarMetrics();
 	private readonly records: FleetRecords;
 	private readonly placement: Placement;
@@ -179,10 +176,6 @@
 			handle: (request, respond) => this.flows.handle(request, respond), clock,
 		});
 		this.follower = new RecordFollower(parts.createSource(this.metrics), this.records, this.log, random);
-		for (const part of [this.records, this.placement, this.runner, this.links, this.flows, this.entry, this.follower, budget]) {
-			this.container.registerInstance(part.constructor.name, part);
-		}
-
 		this.records.onChange(change => {
 			this.noteChange(change);
 		});
--- a/packages/sidecar/src/lib/target-queue.ts
+++ b/packages/sidecar/src/lib/target-queue.ts
@@ -109,13 +109,6 @@
 		this.startNext();
 	}
 
-	/** Refuses all that waits, for example because the target leaves. */
-	refuseAll(): void {
-		for (const work of this.waiting.splice(0)) {
-			work.refuse(0);
-		}
-	}
-
 	private startNext(): void {
 		while (this.activeCount < this.limit && this.waiting.length > 0) {
 			const work = this.waiting.shift()!;
