--- a/packages/load/src/index.ts
+++ b/packages/load/src/index.ts
@@ -5,4 +5,5 @@
 	loadExperiment, parseExperiment, ExperimentFileError, type Experiment,
 } from './lib/experiment-file.js';
 export {idealGoodput, offeredLoad} from './lib/ideal.js';
+export {processUsage, type ProcessUsage} from './lib/process-usage.js';
 export {runExperiment, type ExperimentResult} from './lib/run-experiment.js';
