sidecar: A stopping node refuses requests that it has no time left to answer

Change: from the request to stop, a request is served only if it is certain to end before the node, or, while callers may still send and for calls of running work, if its objective fits; others get 503 with the time at which the successor accepts requests. Targets get no more time than the node has left. The node stops listening before it closes, and closes only when no connection carries a request or an unsent response.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -98,9 +98,14 @@
 		};
 	}
 
+	/** True while the connection carries a request, or a response that has not been handed to the operating system. */
+	get isBusy(): boolean {
+		return this.carriesRequest() || this.socket.writableLength > 0;
+	}
+
 	/** Ends the connection if it carries no request and no part of one. */
 	endIfIdle(): void {
-		if (!this.isBusy() && !isInsideHead(this.parser)) {
+		if (!this.ending && !this.carriesRequest() && !isInsideHead(this.parser)) {
 			this.end();
 		}
 	}
@@ -117,7 +122,7 @@
 			if (elapsed > timeouts.header && this.current === undefined) {
 				this.reject(408, 'head incomplete');
 			}
-		} else if (!this.isBusy() && elapsed > timeouts.idle) {
+		} else if (!this.carriesRequest() && elapsed > timeouts.idle) {
 			this.end();
 		}
 	}
@@ -126,7 +131,7 @@
 		this.socket.destroy();
 	}
 
-	private isBusy(): boolean {
+	private carriesRequest(): boolean {
 		return this.current !== undefined || this.reading !== undefined || this.queued.length > 0;
 	}
 
--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -89,6 +89,16 @@
 		}
 	}
 
+	/** True while a connection carries a request or holds part of a response. */
+	get isBusy(): boolean {
+		return [...this.connections].some(connection => connection.isBusy);
+	}
+
+	/** Accepts no further connections. */
+	stopListening(): void {
+		this.server.close();
+	}
+
 	close(): void {
 		this.cancelCheck?.();
 		this.server.close();
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -15,7 +15,7 @@
 import type {ForwardedRequest} from './peer-link.js';
 import type {PeerLinks} from './peer-links.js';
 import {Placement} from './placement.js';
-import {RequestHandler, type EntryResponse} from './request-flow.js';
+import {RequestHandler, type EntryResponse, type StopTimes} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
 import {RootAdmission} from './root-admission.js';
 import {SidecarMetrics} from './sidecar-metrics.js';
@@ -31,6 +31,7 @@
 /** Number of the next forwarded requests that are refused immediately. */
 let immediateRefusals: number;
 let profile: CallProfile;
+let stopTimes: StopTimes | undefined;
 
 const headers = {
 	attempt: 'x-attempt', remainingTime: 'x-remaining', signature: 'x-signature', expectedInstance: 'x-expected', notRun: 'x-not-run', callerService: 'x-caller',
@@ -65,6 +66,7 @@
 	slack = 100;
 	unreachable = new Set();
 	immediateRefusals = 0;
+	stopTimes = undefined;
 	build(['one', 'two', 'three']);
 });
 
@@ -106,6 +108,7 @@
 			done(null);
 		}),
 		metrics: new SidecarMetrics(), random: () => 0.5,
+		stopTimes: () => stopTimes,
 	});
 }
 
@@ -233,6 +236,28 @@
 	});
 });
 
+describe('a request at a node that stops is never cut off', () => {
+	// Requests have a timeout of 1000 ms and an objective of 500 ms.
+	it.each<[string, {sinceStop: number; untilEnd: number}, number]>([
+		['is served with time for its whole timeout', {sinceStop: 3000, untilEnd: 1300}, 200],
+		['is served within the objective while callers still send', {sinceStop: 1000, untilEnd: 1000}, 200],
+		['is refused without time for its objective', {sinceStop: 1000, untilEnd: 600}, 503],
+		['is refused without time for its timeout once callers have stopped', {sinceStop: 3000, untilEnd: 1100}, 503],
+	])('%s', (_name, {sinceStop, untilEnd}, status) => {
+		stopTimes = {requestedAt: clock.now() - sinceStop, endsAt: clock.now() + untilEnd};
+		const {responses} = send('/book/');
+		sent.at(0)?.settle(answered(200));
+		expect(responses.map(response => response.status)).toEqual([status]);
+		expect(sent).toHaveLength(status === 200 ? 1 : 0);
+	});
+
+	it('gives targets no more time than the node has left', () => {
+		stopTimes = {requestedAt: clock.now(), endsAt: clock.now() + 900};
+		send('/book/');
+		expect(sent[0]!.request.remainingMilliseconds).toBe(700);
+	});
+});
+
 it('without an instance the request is refused and did not run', () => {
 	build([]);
 	expect(send('/book/').responses[0]!.status).toBe(503);
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -47,6 +47,15 @@
 	requestCountCacheMilliseconds: 500,
 	/** Mean `Retry-After` while the node has no policy or can reach no instance. */
 	unavailableRetryAfterMilliseconds: 400,
+	/**
+	 * Time after the request to stop from which callers' requests must be certain to end before the node does. Readiness is probed once
+	 * a second and callers stop after two failed probes, so only requests on kept connections arrive later.
+	 */
+	certainEndAfterMilliseconds: 2300,
+	/** Time before the end of the node by which targets must end their work, so that their last responses can still be forwarded. */
+	stopMarginMilliseconds: 200,
+	/** Expected time from the end of this node until its successor accepts requests. */
+	restartMilliseconds: 1500,
 } as const;
 
 /** @public */
@@ -72,6 +81,9 @@
 	closeDelimited?: boolean;
 };
 
+/** Monotonic times of the shutdown of a node, in milliseconds. @public */
+export type StopTimes = {requestedAt: number; endsAt: number};
+
 /** @public */
 export type RequestFlowDependencies = {
 	service: string;
@@ -90,6 +102,8 @@
 	metrics: SidecarMetrics;
 	clock: Clock;
 	random: () => number;
+	/** Undefined until the node is asked to stop. */
+	stopTimes(): StopTimes | undefined;
 };
 
 /** Reasons for refusing a request on receipt because of a downstream service. */
@@ -157,6 +171,12 @@
 		const running = parent === undefined ? undefined : this.dependencies.runner.runningWork(parent);
 		const fromTarget = running !== undefined;
 		const rank = fromTarget ? rankOfCall(running.rank) : route.rank;
+		const stop = this.dependencies.stopTimes();
+		if (stop !== undefined && !this.canEndBeforeStop(request, route, fromTarget, stop)) {
+			this.refuseWhileStopping(request, route, stop, respond);
+			return doNothing;
+		}
+
 		if (fromTarget) {
 			this.dependencies.profile.recordCall(running.route, route.name);
 		} else {
@@ -207,6 +227,13 @@
 		return requestCounts;
 	}
 
+	/** Monotonic time at which a request must have its final response. */
+	deadlineOf(request: EntryRequest, route: Route): number {
+		const deadlineAt = callerDeadline(request, route);
+		const stop = this.dependencies.stopTimes();
+		return stop === undefined ? deadlineAt : Math.min(deadlineAt, stop.endsAt - requestFlowOptions.stopMarginMilliseconds);
+	}
+
 	/** Builds a 503 response whose `Retry-After` is randomised, so that callers do not retry at the same time. */
 	refusal(reason: string, retryAfterMilliseconds: number): EntryResponse {
 		const {retryAfterJitter} = requestFlowOptions;
@@ -252,6 +279,31 @@
 		return undefined;
 	}
 
+	/**
+	 * A stopping node serves a request that will probably end before the node does: one that is certain to, and until callers had time to
+	 * stop, or for a call whose failure would waste its parent's work, one with at least the route's objective left.
+	 */
+	private canEndBeforeStop(request: EntryRequest, route: Route, fromTarget: boolean, {requestedAt, endsAt}: StopTimes): boolean {
+		const latestEndAt = endsAt - requestFlowOptions.stopMarginMilliseconds;
+		if (callerDeadline(request, route) <= latestEndAt) {
+			return true;
+		}
+
+		const mustBeCertain = !fromTarget && request.receivedAt - requestedAt > requestFlowOptions.certainEndAfterMilliseconds;
+		return !mustBeCertain && latestEndAt - request.receivedAt >= route.objectiveMilliseconds;
+	}
+
+	/** Refuses a request that this node has no time left to answer; its successor on this machine can serve it. */
+	private refuseWhileStopping(request: EntryRequest, route: Route, {endsAt}: StopTimes, respond: (response: EntryResponse) => void): void {
+		const {log, metrics} = this.dependencies;
+		const remaining = Math.max(0, endsAt - request.receivedAt);
+		respond(this.refusal('stopping', remaining + requestFlowOptions.restartMilliseconds));
+		metrics.countRequest(route.name, 'refused', 'stopping');
+		log.write('request', {
+			id: request.attempt, route: route.name, outcome: 'refused', reason: 'stopping', status: 503, rank: route.rank, remainingMilliseconds: Math.round(remaining),
+		});
+	}
+
 	/** Refuses a request before it runs; `service` is the downstream service that causes the refusal. */
 	private refuseAtEntry(request: EntryRequest, route: Route, reason: RootRefusal, service: string, respond: (response: EntryResponse) => void): void {
 		const {admission, log, metrics} = this.dependencies;
@@ -290,8 +342,8 @@
 		private readonly onCancelled: () => void,
 	) {
 		this.dependencies = handler.dependencies;
-		const timeout = Math.min(request.remainingMilliseconds ?? requestFlowOptions.defaultTimeoutMilliseconds, route.timeoutMilliseconds);
-		this.deadlineAt = request.receivedAt + timeout;
+		this.deadlineAt = handler.deadlineOf(request, route);
+		const timeout = this.deadlineAt - request.receivedAt;
 		this.latestStartAt = request.receivedAt + (request.fromTarget
 			? timeout * requestFlowOptions.latestCallStartShare
 			: Math.min(timeout, route.objectiveMilliseconds) * requestFlowOptions.latestStartShare);
@@ -523,6 +575,11 @@
 	return {status, headers: jsonHeaders, body: Buffer.from(JSON.stringify({reason}))};
 }
 
+/** The earlier of the caller's deadline and the route's timeout. */
+function callerDeadline(request: EntryRequest, route: Route): number {
+	return request.receivedAt + Math.min(request.remainingMilliseconds ?? requestFlowOptions.defaultTimeoutMilliseconds, route.timeoutMilliseconds);
+}
+
 /**
  * Returns the rank of a downstream call. It precedes new requests of the parent's rank, because its failure wastes the parent's
  * work, and comes after more urgent requests. Ranks of requests are integers.
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -23,7 +23,7 @@
 import {PeerLinks} from './peer-links.js';
 import {Placement} from './placement.js';
 import {RecordFollower, type RecordSource} from './record-follower.js';
-import {RequestHandler} from './request-flow.js';
+import {RequestHandler, requestFlowOptions, type StopTimes} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
 import {RootAdmission, type ServiceLoad} from './root-admission.js';
 import {SidecarMetrics} from './sidecar-metrics.js';
@@ -31,11 +31,8 @@
 
 /** @public */
 export const sidecarOptions = {
-	/**
-	 * Time after SIGTERM for callers and peers to stop sending. Readiness is probed once a second, and an instance counts as not
-	 * ready after two failed probes.
-	 */
-	minimumLeaveMilliseconds: 2300,
+	/** Minimum time between the request to stop and the end: callers need it to stop sending. */
+	minimumLeaveMilliseconds: requestFlowOptions.certainEndAfterMilliseconds,
 	/** Part of the shutdown grace period that is reserved for closing connections. */
 	graceReserveMilliseconds: 300,
 	drainPollMilliseconds: 25,
@@ -122,7 +119,7 @@
 	private readonly servers: Server[] = [];
 	private instanceByHost = new Map<string, string>();
 	private forwardedRequestCount = 0;
-	private leaving = false;
+	private stopTimes: StopTimes | undefined;
 	private nodeCount = 1;
 	private nodeCountUpdatedAt = 0;
 
@@ -146,7 +143,7 @@
 		});
 		this.links = new PeerLinks(
 			{
-				isLeaving: () => this.leaving, revisions: () => this.records.revisions, load: () => this.runner.load,
+				isLeaving: () => this.isLeaving, revisions: () => this.records.revisions, load: () => this.runner.load,
 				calls: () => this.profile.localCallsByRoute(), retryShortfall: () => budget.shortfall(), records: () => this.records.createSnapshot(),
 			},
 			{
@@ -174,6 +171,7 @@
 			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
 			placement: this.placement, parentOfCall: dependencies.parentOfCall, budget,
 			profile: this.profile, admission: this.admission, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
+			stopTimes: () => this.stopTimes,
 		});
 		this.entry = new EntryListener({
 			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
@@ -204,17 +202,24 @@
 	async stop(): Promise<void> {
 		const startedAt = this.clock.now();
 		this.log.write('stop-requested', {activeRequests: this.requestHandler.activeCount, runningHandOvers: this.forwardedRequestCount});
-		this.leaving = true;
+		const endsAt = startedAt + this.settings.graceMilliseconds - sidecarOptions.graceReserveMilliseconds;
+		this.stopTimes = {requestedAt: startedAt, endsAt};
 		this.entry.leave();
 		this.links.announceLeaving();
-		const drainUntil = startedAt + this.settings.graceMilliseconds - sidecarOptions.graceReserveMilliseconds;
-		while (this.clock.now() < drainUntil && (this.clock.now() - startedAt < sidecarOptions.minimumLeaveMilliseconds || this.hasActiveRequests())) {
+		while (this.clock.now() < endsAt && (this.clock.now() - startedAt < sidecarOptions.minimumLeaveMilliseconds || this.hasActiveRequests())) {
 			await delay(sidecarOptions.drainPollMilliseconds);
 			if (this.clock.now() - startedAt >= sidecarOptions.minimumLeaveMilliseconds) {
 				this.entry.closeIdle();
 			}
 		}
 
+		// Requests on connections accepted just before are still answered.
+		this.entry.stopListening();
+		do {
+			await delay(sidecarOptions.drainPollMilliseconds);
+			this.entry.closeIdle();
+		} while (this.clock.now() < endsAt && this.hasActiveRequests());
+
 		this.log.write('stop', {activeRequests: this.requestHandler.activeCount, runningHandOvers: this.forwardedRequestCount});
 		this.log.flush();
 		this.shutdown.abort();
@@ -251,15 +256,19 @@
 	}
 
 	private hasActiveRequests(): boolean {
-		return this.requestHandler.activeCount > 0 || this.forwardedRequestCount > 0;
+		return this.requestHandler.activeCount > 0 || this.forwardedRequestCount > 0 || this.entry.isBusy;
+	}
+
+	private get isLeaving(): boolean {
+		return this.stopTimes !== undefined;
 	}
 
 	private isReady(): boolean {
-		return !this.leaving && this.records.policy !== undefined && this.instanceByHost.size > 0;
+		return !this.isLeaving && this.records.policy !== undefined && this.instanceByHost.size > 0;
 	}
 
 	private runForwardedRequest(request: ForwardedRequest, ageMilliseconds: number, settle: (outcome: RunOutcome) => void): () => void {
-		if (this.leaving) {
+		if (this.isLeaving) {
 			settle(unsentOutcome('leaving'));
 			return doNothing;
 		}
--- a/packages/sidecar/src/lib/target-connection.test.ts
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -145,6 +145,17 @@
 		expect(await typeOf('a1')).toBe('lost');
 	});
 
+	it('truncated after any byte of its head', async () => {
+		const headBytes = response('a1', '').length;
+		for (let end = 1; end < headBytes; end += 1) {
+			script = (socket, attempt) => {
+				socket.end(response(attempt, '').slice(0, end));
+			};
+
+			expect([end, await typeOf('a1')]).toEqual([end, 'lost']);
+		}
+	});
+
 	it('without a length and reset', async () => {
 		script = async (socket, attempt) => {
 			socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\nabc`);
@@ -192,6 +203,35 @@
 	});
 });
 
+describe('an earlier refusal that is written again', () => {
+	const refusal = (attempt: string) => `HTTP/1.1 503 Busy\r\nX-Attempt: ${attempt}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n`;
+
+	it.each<[string, (attempt: string) => string, string]>([
+		['before the response to the next request is skipped', attempt => refusal('a1') + response(attempt, 'own'), 'own'],
+		['without an id is skipped', attempt => refusal('a1').replace('X-Attempt: a1\r\n', '') + response(attempt, 'own'), 'own'],
+	])('%s', async (_name, next, body) => {
+		script = (socket, attempt) => {
+			socket.write(attempt === 'a1' ? refusal(attempt) : next(attempt));
+		};
+
+		await send('a1');
+		expect(bodyOf(await send('a2'))).toBe(body);
+		expect(opened).toBe(1);
+	});
+
+	it('in place of the response to the next request leaves that request lost, not refused', async () => {
+		script = (socket, attempt) => {
+			socket.write(refusal('a1'));
+			if (attempt !== 'a1') {
+				socket.end();
+			}
+		};
+
+		await send('a1');
+		expect(await typeOf('a2')).toBe('lost');
+	});
+});
+
 describe('a request that was not written is unsent', () => {
 	it('to a port without a listener', async () => {
 		const {port} = (server.address() as AddressInfo);
