--- a/packages/sidecar/src/index.ts
+++ b/packages/sidecar/src/index.ts
@@ -6,7 +6,9 @@
 	InstanceState, type Address, type CallerLimits, type DecodedRecord, type HeaderNames, type InstanceStateName, type ParentOfCall, type RecordDecoder,
 	type Route, type RoutingPolicy, type ServiceRules, type StoredRecord, type TargetInstance, type WeightedService,
 } from './lib/fleet-model.js';
-export type {RecordListing, RecordSource, WatchResponse} from './lib/record-follower.js';
+export {
+	ListingFreshness, type ListingFreshnessName, type RecordListing, type RecordSource, type WatchResponse,
+} from './lib/record-follower.js';
 export {SidecarMetrics} from './lib/sidecar-metrics.js';
 export {
 	startSidecar, type RunningSidecar, type SidecarDependencies, type SidecarSettings,
--- a/packages/sidecar/src/lib/fleet-model.ts
+++ b/packages/sidecar/src/lib/fleet-model.ts
@@ -111,11 +111,16 @@
 	return isOlderDescription(other, description) || (isDraining && !isOlderDescription(description, other));
 }
 
-/** All records of one node, sent to another. @public */
-export type RecordSnapshot = {
+/** By key prefix, the revision up to which no change is missing. @public */
+export type CompleteTo = Readonly<Record<string, number>>;
+
+/** The changes that one node has received after given revisions, sent to another. @public */
+export type RecordChanges = {
+	/** The current record of each changed key; a deleted one has no value. */
 	records: readonly StoredRecord[];
-	/** By key prefix, the revision up to which no change is missing: keys that are not among the records were deleted by then. */
-	completeTo: Readonly<Record<string, number>>;
+	completeTo: CompleteTo;
+	/** Revisions after which the changes are complete; empty if these are all records. */
+	after: CompleteTo;
 };
 
 /** Decoded content of a record. @public */
--- a/packages/sidecar/src/lib/fleet-records-model.test.ts
+++ b/packages/sidecar/src/lib/fleet-records-model.test.ts
@@ -55,7 +55,7 @@
 		exchange: ({node, other}: Step) => {
 			// Records of a peer may arrive before older ones of the service: a late copy from before a removal then looks like a new registration.
 			this.updateReceivedAll(this.nodes[other]!);
-			this.nodes[other]!.records.applySnapshot(this.nodes[node]!.records.createSnapshot());
+			this.nodes[other]!.records.applyChanges(this.nodes[node]!.records.changesSince({}));
 		},
 		restart: ({node}: Step) => {
 			this.nodes[node] = this.createNode();
--- a/packages/sidecar/src/lib/fleet-records.test.ts
+++ b/packages/sidecar/src/lib/fleet-records.test.ts
@@ -90,7 +90,7 @@
 		records.apply({key: 'two', revision: 9, value: entryValue(2)}, 'service');
 		const peer = new FleetRecords({decode, heartbeatMilliseconds, now: () => now});
 		peer.applyListing('', [{key: 'three', revision: 6, value: entryValue(3)}], 7);
-		records.applySnapshot(peer.createSnapshot());
+		records.applyChanges(peer.changesSince({}));
 		expect(names()).toEqual(['three', 'two']);
 	});
 
@@ -98,7 +98,7 @@
 		records.apply({key: 'one', revision: 5, value: entryValue(1)}, 'service');
 		const peer = new FleetRecords({decode, heartbeatMilliseconds, now: () => now});
 		peer.apply({key: 'two', revision: 9, value: entryValue(2)}, 'peer');
-		records.applySnapshot(peer.createSnapshot());
+		records.applyChanges(peer.changesSince({}));
 		expect(names()).toEqual(['one', 'two']);
 	});
 
@@ -165,7 +165,7 @@
 	it('a late copy is replaced by the current description in the records for peers', () => {
 		applySteps([{reportCount: 4, state: 'draining'}, {reportCount: 3}]);
 		const peer = new FleetRecords({decode, heartbeatMilliseconds, now: () => now});
-		peer.applySnapshot(records.createSnapshot());
+		peer.applyChanges(records.changesSince({}));
 		expect(peer.instancesOf('racks').map(({state}) => state)).toEqual(['draining']);
 	});
 
--- a/packages/sidecar/src/lib/fleet-records.ts
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -5,7 +5,8 @@
  */
 import {DepartureCause, Departures} from './departures.js';
 import {
-	formatAddress, InstanceState, isNewerDescription, isOlderDescription, type DecodedRecord, type RecordDecoder, type RecordSnapshot, type RoutingPolicy, type StoredRecord, type TargetInstance,
+	formatAddress, InstanceState, isNewerDescription, isOlderDescription, type CompleteTo, type DecodedRecord, type RecordChanges,
+	type RecordDecoder, type RoutingPolicy, type StoredRecord, type TargetInstance,
 } from './fleet-model.js';
 import {ServiceAvailability} from './service-availability.js';
 
@@ -61,11 +62,12 @@
 	private readonly entries = new Map<string, RecordEntry>();
 	private readonly tombstones = new Map<string, number>();
 	private readonly lapsed = new Map<string, {instance: TargetInstance; revision: number}>();
-	private readonly completeTo = new Map<string, number>();
+	private completeRevisions: CompleteTo = {};
 	private policyRecord: StoredRecord | undefined;
 	private currentPolicy: RoutingPolicy | undefined;
 	private policyReceivedAt = 0;
-	private instancesByService = new Map<string, TargetInstance[]>();
+	/** Index of the usable entries, rebuilt on the first use after a change. */
+	private instancesByService: Map<string, TargetInstance[]> | undefined;
 	private newestFleetRevision = 0;
 	private readonly listeners = new Set<(change: RecordChange) => void>();
 
@@ -96,11 +98,16 @@
 
 	/** Instances of a service that accept work or are draining. */
 	instancesOf(service: string): readonly TargetInstance[] {
-		return this.instancesByService.get(service) ?? [];
+		return this.index.get(service) ?? [];
 	}
 
 	instances(): TargetInstance[] {
-		return [...this.instancesByService.values()].flat();
+		return [...this.index.values()].flat();
+	}
+
+	/** By key prefix, the revision up to which all changes are applied. */
+	get completeTo(): CompleteTo {
+		return this.completeRevisions;
 	}
 
 	/** Applies one record; returns true if it is newer than the known record of its key. */
@@ -129,8 +136,8 @@
 		this.markComplete(prefix, revision);
 	}
 
-	/** Applies the records of a peer: entries that are missing, and that the peer would know by its revision, were deleted. */
-	applySnapshot({records, completeTo}: RecordSnapshot): void {
+	/** Applies changes that a peer has received. Of all records of a peer, entries that are missing although it would know them were deleted. */
+	applyChanges({records, completeTo, after}: RecordChanges): void {
 		const listed = new Set<string>();
 		for (const record of records) {
 			listed.add(record.key);
@@ -138,14 +145,23 @@
 		}
 
 		for (const [prefix, revision] of Object.entries(completeTo)) {
-			this.removeUnlisted(prefix, listed, revision, 'peer');
+			const changesAfter = after[prefix];
+			if (changesAfter === undefined) {
+				this.removeUnlisted(prefix, listed, revision, 'peer');
+			} else if (changesAfter > (this.completeRevisions[prefix] ?? 0)) {
+				// Changes between the two revisions are missing.
+				continue;
+			}
+
 			this.markComplete(prefix, revision);
 		}
 	}
 
 	/** Marks all changes of the keys with a prefix up to a revision as applied. */
 	markComplete(prefix: string, revision: number): void {
-		this.completeTo.set(prefix, Math.max(revision, this.completeTo.get(prefix) ?? 0));
+		if (revision > (this.completeRevisions[prefix] ?? 0)) {
+			this.completeRevisions = {...this.completeRevisions, [prefix]: revision};
+		}
 	}
 
 	/** Removes instances whose entries lapsed during an outage and were not registered again after it. */
@@ -154,6 +170,7 @@
 			return;
 		}
 
+		this.instancesByService = undefined;
 		for (const [key, {instance, revision}] of this.lapsed) {
 			this.lapsed.delete(key);
 			this.departures.add(instance, DepartureCause.removed, revision);
@@ -161,22 +178,22 @@
 				key, revision, source: 'service', outcome: 'deleted', detail: 'not registered again after the outage',
 			});
 		}
-
-		this.rebuildIndex();
 	}
 
-	/** Returns all records and tombstones, for a peer that is behind. */
-	createSnapshot(): RecordSnapshot {
-		const records: StoredRecord[] = [...this.entries.values()].map(({record}) => record);
+	/** Returns the records and tombstones that changed after the given revisions, for a peer that is behind; all if none is given. */
+	changesSince(after: CompleteTo): RecordChanges {
+		const all: StoredRecord[] = [...this.entries.values()].map(({record}) => record);
 		if (this.policyRecord !== undefined) {
-			records.push(this.policyRecord);
+			all.push(this.policyRecord);
 		}
 
 		for (const [key, revision] of this.tombstones) {
-			records.push({key, revision, value: undefined});
+			all.push({key, revision, value: undefined});
 		}
 
-		return {records, completeTo: Object.fromEntries(this.completeTo)};
+		const known = Object.entries(after);
+		const records = all.filter(({key, revision}) => !known.some(([prefix, knownTo]) => key.startsWith(prefix) && revision <= knownTo));
+		return {records, completeTo: this.completeRevisions, after};
 	}
 
 	dump(): unknown {
@@ -216,7 +233,8 @@
 				return;
 			}
 
-			this.activate(entry.record, decoded.instance, record.revision);
+			// Peers are sent the newer description under the higher revision.
+			this.activate({...entry.record, value: record.value}, decoded.instance, record.revision);
 		}
 
 		this.notifyListeners({
@@ -268,7 +286,7 @@
 	private setEntry(record: StoredRecord, description: DecodedInstance | undefined, descriptionRevision: number): void {
 		this.entries.set(record.key, {record, description, descriptionRevision});
 		this.lapsed.delete(record.key);
-		this.rebuildIndex();
+		this.instancesByService = undefined;
 	}
 
 	/** The newest description of an instance that this node has received. */
@@ -302,7 +320,7 @@
 		this.currentPolicy = policy;
 		this.policyRecord = record;
 		this.policyReceivedAt = this.now();
-		this.rebuildIndex();
+		this.instancesByService = undefined;
 		this.notifyListeners({
 			key: record.key, revision: record.revision, source, outcome: 'accepted', detail: `policy version ${policy.version}`,
 		});
@@ -329,7 +347,7 @@
 			this.departures.add(instance, DepartureCause.removed, revision);
 		}
 
-		this.rebuildIndex();
+		this.instancesByService = undefined;
 		this.notifyListeners({
 			key, revision, source, outcome: mayHaveExpired ? 'lapsed' : 'deleted', detail: '',
 		});
@@ -344,8 +362,13 @@
 		}
 	}
 
-	/** Rebuilds the instances by service. Of two entries with the same address, the one with the later start time wins. */
-	private rebuildIndex(): void {
+	private get index(): Map<string, TargetInstance[]> {
+		this.instancesByService ??= this.buildIndex();
+		return this.instancesByService;
+	}
+
+	/** Groups the instances by service. Of two entries with the same address, the one with the later start time wins. */
+	private buildIndex(): Map<string, TargetInstance[]> {
 		const byAddress = new Map<string, TargetInstance>();
 		const addCandidate = (instance: TargetInstance) => {
 			if (this.currentPolicy !== undefined && !this.currentPolicy.services.has(instance.service)) {
@@ -379,7 +402,7 @@
 			}
 		}
 
-		this.instancesByService = byService;
+		return byService;
 	}
 
 	private notifyListeners(change: RecordChange): void {
@@ -388,3 +411,8 @@
 		}
 	}
 }
+
+/** True if records that are complete to the first revisions lack no change up to the second ones. */
+export function isCompleteTo(completeTo: CompleteTo, required: CompleteTo): boolean {
+	return Object.entries(required).every(([prefix, revision]) => (completeTo[prefix] ?? 0) >= revision);
+}
--- a/packages/sidecar/src/lib/link-messages.test.ts
+++ b/packages/sidecar/src/lib/link-messages.test.ts
@@ -45,8 +45,13 @@
 			type: LinkMessageType.pong, ...stamp, leaving: false, revisions, load, calls: {r: {q: 2}}, retryShortfall: {s: 1.5},
 		}],
 		['grant', {type: LinkMessageType.grant, ...stamp, retries: {s: 0.5}}],
-		['request for records', {type: LinkMessageType.requestRecords}],
-		['records', {type: LinkMessageType.records, records: [{key: 'k', revision: 1, value: 'v'}], completeTo: {k: 4}}],
+		['request for records', {type: LinkMessageType.requestRecords, after: {k: 3}}],
+		['records', {
+			type: LinkMessageType.records, records: [{key: 'k', revision: 1, value: 'v'}], completeTo: {k: 4}, after: {k: 3},
+		}],
+		['progress', {
+			type: LinkMessageType.progress, sentAt: 1, heard: 2, completeTo: {k: 4}, confirmedAge: 5, attemptAge: 6,
+		}],
 	])('%s', (_name, message) => {
 		const frame = encodeFrame([message, message]);
 		expect(frame.readUInt32BE(0)).toBe(frame.length - frameHeaderBytes);
@@ -56,7 +61,9 @@
 
 it('records of earlier versions are complete for no prefix', () => {
 	const bytes = new Packr({useRecords: false}).pack([[LinkMessageType.records, []]]);
-	expect(decodeMessages(bytes)).toEqual([{type: LinkMessageType.records, records: [], completeTo: {}}]);
+	expect(decodeMessages(bytes)).toEqual([{
+		type: LinkMessageType.records, records: [], completeTo: {}, after: {},
+	}]);
 });
 
 it('types and fields of later versions are skipped', () => {
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -6,8 +6,9 @@
 import {ProtocolError} from '@hemlockthread/verdict';
 import {Packr, RESERVE_START_SPACE} from 'msgpackr';
 import type {CallsByRoute} from './call-profile.js';
-import type {RecordSnapshot, StoredRecord} from './fleet-model.js';
+import type {CompleteTo, RecordChanges, StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
+import type {RecordProgress} from './record-spread.js';
 import type {RetriesByService} from './retry-budget.js';
 
 /** @public */
@@ -20,6 +21,7 @@
 	requestRecords: 6,
 	records: 7,
 	grant: 8,
+	progress: 9,
 } as const;
 
 /** Load of a node's queue and target, as reported to its peers. @public */
@@ -105,17 +107,24 @@
 };
 
 /** @public */
-export type RequestRecordsMessage = {type: typeof LinkMessageType.requestRecords};
+export type RequestRecordsMessage = {
+	type: typeof LinkMessageType.requestRecords;
+	/** The revisions up to which the sender has all changes; empty to request all records. */
+	after: CompleteTo;
+};
 
 /** @public */
-export type RecordsMessage = RecordSnapshot & {type: typeof LinkMessageType.records};
+export type RecordsMessage = RecordChanges & {type: typeof LinkMessageType.records};
 
 /** Grants the receiver part of the sender's retry budget. @public */
 export type GrantMessage = LinkStamp & {type: typeof LinkMessageType.grant; retries: RetriesByService};
 
+/** Tells the receiver how far the sender's records are complete, and subscribes it to the same news of the receiver. @public */
+export type ProgressMessage = LinkStamp & RecordProgress & {type: typeof LinkMessageType.progress};
+
 /** @public */
 export type LinkMessage
-	= | ForwardMessage | CancelMessage | ResultMessage | PingMessage | PongMessage | RequestRecordsMessage | RecordsMessage | GrantMessage;
+	= | ForwardMessage | CancelMessage | ResultMessage | PingMessage | PongMessage | RequestRecordsMessage | RecordsMessage | GrantMessage | ProgressMessage;
 
 /** Size of the frame header, which holds the length of the payload. */
 export const frameHeaderBytes = 4;
@@ -148,9 +157,13 @@
 		type: typeof LinkMessageType.pong, sentAt: number, heard: number | undefined, leaving: boolean, revisions: RevisionSummary, load: WireLoad,
 		calls: CallsByRoute | undefined, lacks: RetriesByService | undefined,
 	];
-	[LinkMessageType.requestRecords]: readonly [type: typeof LinkMessageType.requestRecords];
+	[LinkMessageType.requestRecords]: readonly [type: typeof LinkMessageType.requestRecords, after: CompleteTo | undefined];
 	[LinkMessageType.records]: readonly [
-		type: typeof LinkMessageType.records, records: readonly StoredRecord[], completeTo: Readonly<Record<string, number>> | undefined,
+		type: typeof LinkMessageType.records, records: readonly StoredRecord[], completeTo: CompleteTo | undefined, after: CompleteTo | undefined,
+	];
+	[LinkMessageType.progress]: readonly [
+		type: typeof LinkMessageType.progress, sentAt: number, heard: number | undefined, completeTo: CompleteTo, confirmedAge: number | undefined,
+		attemptAge: number | undefined,
 	];
 	[LinkMessageType.grant]: readonly [type: typeof LinkMessageType.grant, sentAt: number, heard: number | undefined, repeats: RetriesByService];
 };
@@ -213,8 +226,9 @@
 		calls,
 		retryShortfall,
 	],
-	[LinkMessageType.requestRecords]: ({type}) => [type],
-	[LinkMessageType.records]: ({type, records, completeTo}) => [type, records, completeTo],
+	[LinkMessageType.requestRecords]: ({type, after}) => [type, after],
+	[LinkMessageType.records]: ({type, records, completeTo, after}) => [type, records, completeTo, after],
+	[LinkMessageType.progress]: ({type, sentAt, heard, completeTo, confirmedAge, attemptAge}) => [type, sentAt, heard, completeTo, confirmedAge, attemptAge],
 	[LinkMessageType.grant]: ({type, sentAt, heard, retries}) => [type, sentAt, heard, retries],
 };
 
@@ -249,8 +263,13 @@
 	[LinkMessageType.pong]: ([, sentAt, heard, leaving, revisions, load, calls, retryShortfall]) => ({
 		type: LinkMessageType.pong, sentAt, heard, leaving, revisions, load: loadFromList(load), calls, retryShortfall,
 	}),
-	[LinkMessageType.requestRecords]: () => ({type: LinkMessageType.requestRecords}),
-	[LinkMessageType.records]: ([, records, completeTo]) => ({type: LinkMessageType.records, records, completeTo: completeTo ?? {}}),
+	[LinkMessageType.requestRecords]: ([, after]) => ({type: LinkMessageType.requestRecords, after: after ?? {}}),
+	[LinkMessageType.records]: ([, records, completeTo, after]) => ({
+		type: LinkMessageType.records, records, completeTo: completeTo ?? {}, after: after ?? {},
+	}),
+	[LinkMessageType.progress]: ([, sentAt, heard, completeTo, confirmedAge, attemptAge]) => ({
+		type: LinkMessageType.progress, sentAt, heard, completeTo, confirmedAge, attemptAge,
+	}),
 	[LinkMessageType.grant]: ([, sentAt, heard, retries]) => ({
 		type: LinkMessageType.grant, sentAt, heard, retries,
 	}),
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -8,12 +8,13 @@
 import type {CallsByRoute} from './call-profile.js';
 import type {Clock} from './clock.js';
 import {doNothing} from './do-nothing.js';
-import type {RecordSnapshot} from './fleet-model.js';
+import type {CompleteTo, RecordChanges} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
 import {FrameRole, FrameSocket, type FrameRoleName} from './frame-socket.js';
 import {
 	decodeMessages, encodeFrame, LinkMessageType, RunResult, unsentOutcome, type ForwardMessage, type LinkMessage, type LoadReport, type RunOutcome,
 } from './link-messages.js';
+import type {RecordNeighbour, RecordProgress} from './record-spread.js';
 import type {RetriesByService} from './retry-budget.js';
 
 /** @public */
@@ -34,11 +35,13 @@
 	connectTimeoutMilliseconds: 500,
 	/** Delay before a peer is dialled again after its link closed or could not be opened. */
 	redialDelayMilliseconds: 500,
+	/** Time after which a link that is not wanted and carries no request is closed; longer than most requests and pauses between them. */
+	unusedLinkMilliseconds: 10_000,
 	/** Maximum number of bytes buffered in a socket before further requests are refused. */
 	maximumBufferedBytes: 8 * 1024 * 1024,
 	/** Maximum size of a batch of messages; several responses of the maximum size fit in it. */
 	maximumFrameBytes: 80 * 1024 * 1024,
-	/** Delay before the records of a peer with newer revisions are requested; the configuration service usually delivers them sooner. */
+	/** Delay before the records of a peer with newer revisions are requested; neighbours usually deliver them sooner. */
 	recordFetchDelayMilliseconds: 250,
 } as const;
 
@@ -50,7 +53,11 @@
 	onForwardedRequest(request: ForwardedRequest, ageMilliseconds: number, settle: (outcome: RunOutcome) => void): CancelForward;
 	onLoad(peer: string, load: LoadReport): void;
 	onCalls(peer: string, calls: CallsByRoute): void;
-	onRecords(snapshot: RecordSnapshot): void;
+	/** `messageAge` is an upper bound of the time since the message was sent. */
+	onProgress(source: RecordNeighbour, progress: RecordProgress, messageAge: number): void;
+	onRecords(source: RecordNeighbour, changes: RecordChanges): void;
+	/** Called when the peer has records with newer revisions. */
+	onNewerRecords(source: RecordNeighbour): void;
 	/** Returns the retries that the node grants to a peer that reported a shortfall. */
 	onRetryShortfall(shortfall: RetriesByService): RetriesByService | undefined;
 	onGrant(retries: RetriesByService, ageMilliseconds: number): void;
@@ -68,7 +75,8 @@
 	calls(): CallsByRoute;
 	/** Recent shortfall of the local retry budget. */
 	retryShortfall(): RetriesByService | undefined;
-	records(): RecordSnapshot;
+	changesSince(after: CompleteTo): RecordChanges;
+	progress(): RecordProgress;
 };
 
 /** Lifecycle events for the owner of a link. @internal */
@@ -82,12 +90,14 @@
 type Handlers = {[Message in LinkMessage as Message['type']]: (message: Message) => void};
 
 /**
- * Reasons for which this side closes links. On `nodeStops`, frames that wait in the socket are still sent, but messages in the outbox
+ * Reasons for which this side closes links. On `nodeStops` and `unused`, frames that wait in the socket are still sent, but messages in the outbox
  * are dropped; for any other reason, both are dropped.
  *
  * @internal
  */
-export const closeReasons = {nodeStops: 'local node is stopping', silent: 'silent', connectTimeout: 'connection timed out'} as const;
+export const closeReasons = {
+	nodeStops: 'local node is stopping', unused: 'not in use', silent: 'silent', connectTimeout: 'connection timed out',
+} as const;
 
 const linkLost: RunOutcome = {result: RunResult.mayHaveRun, reason: 'link-lost'};
 
@@ -96,8 +106,10 @@
  *
  * @internal
  */
-export class PeerLink {
+export class PeerLink implements RecordNeighbour {
 	isPeerLeaving = false;
+	/** True if this link exchanges records: this node chose the peer as a neighbour, or the peer chose this node. */
+	exchangesRecords = false;
 	private readonly pending = new Map<number, Pending>();
 	private readonly running = new Map<number, CancelForward>();
 	private readonly linkClock = new LinkClock();
@@ -154,11 +166,21 @@
 				this.send({type: LinkMessageType.grant, ...this.stamp(), retries});
 			}
 		},
-		[LinkMessageType.requestRecords]: () => {
-			this.send({type: LinkMessageType.records, ...this.local.records()});
+		[LinkMessageType.requestRecords]: ({after}) => {
+			this.send({type: LinkMessageType.records, ...this.local.changesSince(after)});
+			this.sendProgress(this.local.progress());
 		},
-		[LinkMessageType.records]: ({records, completeTo}) => {
-			this.events.onRecords({records, completeTo});
+		[LinkMessageType.records]: ({records, completeTo, after}) => {
+			this.events.onRecords(this, {records, completeTo, after});
+		},
+		[LinkMessageType.progress]: ({sentAt, heard, completeTo, confirmedAge, attemptAge}) => {
+			const age = this.boundedAge(sentAt, heard);
+			if (!this.exchangesRecords) {
+				this.exchangesRecords = true;
+				this.sendProgress(this.local.progress());
+			}
+
+			this.events.onProgress(this, {completeTo, confirmedAge, attemptAge}, age);
 		},
 		[LinkMessageType.grant]: ({sentAt, heard, retries}) => {
 			this.events.onGrant(retries, this.linkClock.recordFrame(sentAt, heard, this.lastReceivedAt));
@@ -185,6 +207,10 @@
 					this.events.onLinkChange(peer, 'open', '');
 					this.outbox = this.outbox.map(message => this.restamped(message));
 					this.ping();
+					if (this.exchangesRecords) {
+						this.sendProgress(this.local.progress());
+					}
+
 					this.flush();
 				}
 			},
@@ -209,6 +235,11 @@
 		return this.silentSincePingAt !== undefined && this.clock.now() - this.silentSincePingAt > peerLinkOptions.suspectMilliseconds;
 	}
 
+	/** True if no request is in progress on the link in either direction. */
+	get isIdle(): boolean {
+		return this.pending.size === 0 && this.running.size === 0;
+	}
+
 	get pendingCount(): number {
 		return this.pending.size;
 	}
@@ -240,8 +271,22 @@
 		});
 	}
 
-	requestRecords(): void {
-		this.send({type: LinkMessageType.requestRecords});
+	requestChanges(after: CompleteTo): void {
+		this.send({type: LinkMessageType.requestRecords, after});
+	}
+
+	sendProgress(progress: RecordProgress): void {
+		if (this.isOpen) {
+			this.send({type: LinkMessageType.progress, ...this.stamp(), ...progress});
+		}
+	}
+
+	/** Starts the exchange of records on a dialled link. */
+	exchangeRecords(): void {
+		if (!this.exchangesRecords) {
+			this.exchangesRecords = true;
+			this.sendProgress(this.local.progress());
+		}
 	}
 
 	/**
@@ -282,7 +327,7 @@
 		this.lifecycle.onClosed();
 		this.events.onLinkChange(this.peer, 'closed', reason);
 		const wasOpen = this.open;
-		if (reason === closeReasons.nodeStops) {
+		if (reason === closeReasons.nodeStops || reason === closeReasons.unused) {
 			this.socket.end();
 		} else {
 			this.socket.destroy();
@@ -311,9 +356,7 @@
 	}
 
 	private receiveForward(message: ForwardMessage): void {
-		const bound = this.linkClock.recordFrame(message.sentAt, message.heard, this.lastReceivedAt);
-		// Until the clock offset is known, a message is at most as old as the connection: nothing is stamped before it is open.
-		const age = Number.isFinite(bound) ? bound : this.lastReceivedAt - this.startedAt;
+		const age = this.boundedAge(message.sentAt, message.heard);
 		const {id} = message;
 		let settled = false;
 		const cancel = this.events.onForwardedRequest(message, age, outcome => {
@@ -328,19 +371,22 @@
 		}
 	}
 
+	/** Upper bound of the age of a message. */
+	private boundedAge(sentAt: number, heard: number | undefined): number {
+		const bound = this.linkClock.recordFrame(sentAt, heard, this.lastReceivedAt);
+		// Until the clock offset is known, a message is at most as old as the connection: nothing is stamped before it is open.
+		return Number.isFinite(bound) ? bound : this.lastReceivedAt - this.startedAt;
+	}
+
 	private receiveState(message: {sentAt: number; heard: number | undefined; leaving: boolean; revisions: RevisionSummary}): void {
 		this.linkClock.recordFrame(message.sentAt, message.heard, this.lastReceivedAt);
 		this.isPeerLeaving = message.leaving;
-		const localRevisions = this.local.revisions();
-		const behind = isBehind(localRevisions, message.revisions);
-		if (behind && localRevisions.policyVersion === 0) {
-			this.requestRecords();
-		} else if (behind && !this.isRecordFetchScheduled) {
+		if (isBehind(this.local.revisions(), message.revisions) && !this.isRecordFetchScheduled) {
 			this.isRecordFetchScheduled = true;
 			this.clock.after(peerLinkOptions.recordFetchDelayMilliseconds, () => {
 				this.isRecordFetchScheduled = false;
 				if (this.isOpen && isBehind(this.local.revisions(), message.revisions)) {
-					this.requestRecords();
+					this.events.onNewerRecords(this);
 				}
 			});
 		}
--- a/packages/sidecar/src/lib/peer-links.test.ts
+++ b/packages/sidecar/src/lib/peer-links.test.ts
@@ -67,11 +67,12 @@
 				side.cancelled.push(forwarded.attempt);
 			};
 		},
-		onLoad: () => undefined, onCalls: () => undefined, onRecords: () => undefined, onRetryShortfall: () => undefined, onGrant: () => undefined, onLinkChange: () => undefined,
+		onLoad: () => undefined, onCalls: () => undefined,
+		onProgress: () => undefined, onRecords: () => undefined, onNewerRecords: () => undefined, onRetryShortfall: () => undefined, onGrant: () => undefined, onLinkChange: () => undefined,
 	};
 	side.links = new PeerLinks({
 		isLeaving: () => side.leaving, revisions: () => ({policyVersion: 1, fleetRevision: 1}), load: () => load, calls: () => ({}), retryShortfall: () => undefined,
-		records: () => ({records: [], completeTo: {}}),
+		changesSince: after => ({records: [], completeTo: {}, after}), progress: () => ({completeTo: {}, confirmedAge: undefined, attemptAge: undefined}),
 	}, events, processClock);
 	return side;
 }
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -1,5 +1,5 @@
 /**
- * Manages the links of a node: it dials the node of each instance and accepts links from other nodes. Requests are forwarded over
+ * Manages the links of a node: it dials the nodes of its neighbourhood and accepts links from other nodes. Requests are forwarded over
  * dialled links only, so that each side checks on its own whether the other responds.
  */
 import {connect, createServer, type Server} from 'node:net';
@@ -8,6 +8,7 @@
 import {formatAddress, type Address} from './fleet-model.js';
 import {FrameRole} from './frame-socket.js';
 import {unsentOutcome, type RunOutcome} from './link-messages.js';
+import type {RecordNeighbour} from './record-spread.js';
 import {
 	closeReasons, PeerLink, peerLinkOptions, type CancelForward, type ForwardedRequest, type PeerEvents, type PeerLocalState,
 } from './peer-link.js';
@@ -22,6 +23,8 @@
 	private readonly accepted = new Set<PeerLink>();
 	/** Peers without an open link since the last one closed, with the earliest time of the next dial. */
 	private readonly redialAt = new Map<string, number>();
+	/** By peer, the time until which its link is kept although it carries no request. */
+	private readonly wantedUntil = new Map<string, number>();
 	private server: Server | undefined;
 	private cancelCheck: (() => void) | undefined;
 
@@ -47,9 +50,43 @@
 
 	/** Dials a peer unless a link to it is open or opening. */
 	ensureLink(address: Address): void {
+		this.wantedUntil.set(formatAddress(address), this.clock.now() + peerLinkOptions.unusedLinkMilliseconds);
 		this.linkTo(address);
 	}
 
+	/** Dials a peer and exchanges records with it. */
+	ensureExchange(address: Address): void {
+		this.ensureLink(address);
+		this.dialled.get(formatAddress(address))?.exchangeRecords();
+	}
+
+	/** The open links on which records are exchanged. */
+	* recordNeighbours(): Iterable<RecordNeighbour> {
+		for (const link of [...this.dialled.values(), ...this.accepted]) {
+			if (link.exchangesRecords && link.isOpen) {
+				yield link;
+			}
+		}
+	}
+
+	/** Closes dialled links that have not been wanted for a while and carry no request. */
+	closeUnused(): void {
+		const now = this.clock.now();
+		for (const [key, link] of this.dialled) {
+			if ((this.wantedUntil.get(key) ?? 0) < now && link.isIdle) {
+				link.close(closeReasons.unused);
+				this.redialAt.delete(key);
+			}
+		}
+
+		for (const [key, until] of this.wantedUntil) {
+			if (until < now && !this.dialled.has(key)) {
+				this.wantedUntil.delete(key);
+				this.redialAt.delete(key);
+			}
+		}
+	}
+
 	/**
 	 * True unless the peer is known to be unreachable, suspect or leaving; also true until its first dial has succeeded or failed. A
 	 * peer is suspect if no data arrived for some time after a ping, and unreachable after a link closed or a dial failed until a link
@@ -64,6 +101,7 @@
 
 	/** Forwards a request to a peer and calls `settle` once unless cancelled. The outcome is `not-run` if nothing was sent. */
 	forward(address: Address, request: ForwardedRequest, settle: (outcome: RunOutcome) => void): CancelForward {
+		this.wantedUntil.set(formatAddress(address), this.clock.now() + peerLinkOptions.unusedLinkMilliseconds);
 		const link = this.linkTo(address);
 		if (link === undefined) {
 			settle(unsentOutcome('peer-unreachable'));
@@ -80,12 +118,6 @@
 		}
 	}
 
-	/** Requests the records of one peer while the node has no policy. */
-	requestRecords(): void {
-		const link = [...this.dialled.values()].find(candidate => candidate.isOpen);
-		link?.requestRecords();
-	}
-
 	close(): void {
 		this.cancelCheck?.();
 		for (const link of [...this.dialled.values(), ...this.accepted]) {
--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -1,13 +1,17 @@
 /**
- * Keeps the node's records up to date from the configuration service: for each prefix one listing, followed by long-poll watches.
- * If the service has dropped the history that a watch needs, the records are listed again. Failed calls are retried with
- * exponential backoff and full jitter, so that the nodes don't all call a recovering service at once.
+ * Reads the configuration service when this node is to do so: one listing, followed by long-poll watches. If the service has dropped
+ * the history that a watch needs, the records are listed again. Failed calls are retried with exponential backoff and full jitter, so
+ * that the nodes don't all call a recovering service at once. A node that knows no other node yet reads the copy of the service that
+ * may be outdated, which is cheap; it finds its neighbours there, and fetches the current records from them.
  */
 import {abortableDelay, fullJitter, type JitterRange} from '@hemlockthread/wire';
 import type {Clock} from './clock.js';
 import type {DecisionLog} from './decision-log.js';
 import type {StoredRecord} from './fleet-model.js';
 import type {FleetRecords} from './fleet-records.js';
+import type {Neighbourhood} from './neighbourhood.js';
+import type {RecordSpread} from './record-spread.js';
+import {millisecondsUntilCall} from './watch-duty.js';
 
 /** @public */
 export type RecordListing = {records: StoredRecord[]; revision: number};
@@ -15,128 +19,201 @@
 /** @public */
 export type WatchResponse = {type: 'changes'; records: StoredRecord[]; revision: number} | {type: 'history-lost'};
 
+/** Which copy of its records the service may answer from. @public */
+export const ListingFreshness = {current: 'current', possiblyOutdated: 'possibly-outdated'} as const;
+
+/** @public */
+export type ListingFreshnessName = (typeof ListingFreshness)[keyof typeof ListingFreshness];
+
 /**
  * Read access to the configuration service. Both calls reject when the service does not respond or responds with an error.
  *
  * @public
  */
 export type RecordSource = {
-	list(prefix: string, signal: AbortSignal): Promise<RecordListing>;
+	list(prefix: string, freshness: ListingFreshnessName, signal: AbortSignal): Promise<RecordListing>;
 	watch(prefix: string, afterRevision: number, waitMilliseconds: number, signal: AbortSignal): Promise<WatchResponse>;
 };
 
 /** @public */
 export const recordFollowerOptions = {
 	/**
-	 * Range of the time for which a watch waits for a change. A connection that silently fails is noticed only when its watch
-	 * ends, so some node of the fleet must start a new watch within two seconds; its peers receive the changes from it.
+	 * Range of the time for which a watch waits for a change. Each response confirms to all nodes that their records are complete. A
+	 * connection that silently fails is noticed only when its watch ends, so watches are short.
 	 */
 	shortestWatchMilliseconds: 1000,
-	longestWatchMilliseconds: {minimum: 2000, perNode: 150, maximum: 8000},
-	/** Wait of the first watch after a failure: short, because its response shows whether the service has recovered. */
+	longestWatchMilliseconds: 2000,
+	/** Wait of a watch after a failure or by a substitute: short, because its response shows whether the service responds. */
 	probeWatchMilliseconds: 100,
 	/** Pause after a change, so that changes in quick succession are read with one call. */
 	changeBatchMilliseconds: 200,
+	/** Interval at which the node checks whether it is to call the service. */
+	dutyCheckMilliseconds: 50,
+	/** Interval between listings of a node that knows no other node. */
+	searchMilliseconds: 700,
+	/** Listings after which a node that still knows no other node is taken to be alone. */
+	maximumSearches: 5,
 } as const;
 
 /** Delays after failures; nodes are expected to be up to date within about two seconds after the service recovers. */
 const backoff: JitterRange = {firstMilliseconds: 50, maximumMilliseconds: 600};
 
+/** @public */
+export type RecordFollowerDependencies = {
+	source: RecordSource;
+	records: FleetRecords;
+	spread: RecordSpread;
+	neighbourhood: Neighbourhood;
+	log: DecisionLog;
+	clock: Clock;
+	random: () => number;
+	/** Number of nodes in the fleet. */
+	nodeCount(): number;
+};
+
 /**
- * Watches the records with the given prefixes until the signal aborts.
+ * Reads the records with one key prefix until the signal aborts.
  *
  * @public
  */
 export class RecordFollower {
-	private readonly failingPrefixes = new Set<string>();
-
-	constructor(
-		private readonly source: RecordSource,
-		private readonly records: FleetRecords,
-		private readonly log: DecisionLog,
-		private readonly clock: Clock,
-		private readonly random: () => number,
-		/** Number of nodes in the fleet. */
-		private readonly nodeCount: () => number,
-	) {}
-
-	async run(prefixes: readonly string[], signal: AbortSignal): Promise<void> {
-		await Promise.all(prefixes.map(async prefix => this.follow(prefix, signal)));
+	private readonly startedAt: number;
+	private revision: number | undefined;
+	private failures = 0;
+	private searches = 0;
+	private isFailing = false;
+	private probeRandomness: number;
+
+	constructor(private readonly dependencies: RecordFollowerDependencies) {
+		this.startedAt = dependencies.clock.now();
+		this.probeRandomness = dependencies.random();
 	}
 
-	private async follow(prefix: string, signal: AbortSignal): Promise<void> {
-		let revision: number | undefined;
-		let failures = 0;
+	async run(prefix: string, signal: AbortSignal): Promise<void> {
 		while (!signal.aborted) {
-			const startedAt = this.clock.now();
-			const waitMilliseconds = failures === 0 ? this.chooseWatchMilliseconds() : recordFollowerOptions.probeWatchMilliseconds;
-			try {
-				revision = revision === undefined ? await this.list(prefix, signal) : await this.watch(prefix, revision, waitMilliseconds, signal);
-				failures = 0;
-			} catch (error) {
-				if (signal.aborted) {
-					return;
-				}
-
-				failures += 1;
-				// A watch that fails before its wait is over lost its connection; until then no response was due.
-				const wasResponseDue = revision === undefined || this.clock.now() - startedAt >= waitMilliseconds;
-				this.handleFailure(prefix, {failures, since: wasResponseDue ? startedAt : this.clock.now(), cause: (error as Error).message});
-				await abortableDelay(fullJitter(failures, backoff, this.random), signal);
+			if (this.knowsNoOtherNode()) {
+				await this.search(prefix, signal);
+				continue;
 			}
+
+			const wait = this.millisecondsUntilCall();
+			if (wait > 0) {
+				await abortableDelay(Math.min(wait, recordFollowerOptions.dutyCheckMilliseconds), signal);
+				continue;
+			}
+
+			await this.read(prefix, signal);
+			this.probeRandomness = this.dependencies.random();
+		}
+	}
+
+	private knowsNoOtherNode(): boolean {
+		return this.searches < recordFollowerOptions.maximumSearches && this.dependencies.neighbourhood.exchangeHosts.length === 0;
+	}
+
+	/** Looks for other nodes in a listing that may be outdated. Its records are not confirmed to be complete. */
+	private async search(prefix: string, signal: AbortSignal): Promise<void> {
+		const {source, records, random} = this.dependencies;
+		this.searches += 1;
+		try {
+			const listing = await source.list(prefix, ListingFreshness.possiblyOutdated, signal);
+			// The stated revision may be newer than the listed records, which are complete at least up to the newest one among them.
+			const revision = Math.max(0, ...listing.records.map(record => record.revision));
+			records.applyListing(prefix, listing.records, revision);
+			this.revision = revision === 0 ? undefined : revision;
+		} catch (error) {
+			this.handleFailure(this.dependencies.clock.now(), error as Error, signal);
+		}
+
+		if (this.knowsNoOtherNode()) {
+			await abortableDelay(recordFollowerOptions.searchMilliseconds * (0.5 + random()), signal);
+		}
+	}
+
+	private millisecondsUntilCall(): number {
+		const {spread, neighbourhood, clock, nodeCount} = this.dependencies;
+		return millisecondsUntilCall({
+			now: clock.now(), isWatcher: neighbourhood.isWatcher, rank: neighbourhood.watchRank, nodeCount: nodeCount(),
+			confirmedAt: spread.confirmedAt ?? this.startedAt, peerAttemptAt: spread.peerAttemptAt, ownAttemptAt: spread.ownAttemptAt,
+		}, this.probeRandomness);
+	}
+
+	private async read(prefix: string, signal: AbortSignal): Promise<void> {
+		const {records, clock, random, neighbourhood} = this.dependencies;
+		const startedAt = clock.now();
+		const isRegular = this.failures === 0 && neighbourhood.isWatcher;
+		const waitMilliseconds = isRegular ? this.chooseWatchMilliseconds() : recordFollowerOptions.probeWatchMilliseconds;
+		// Neighbours may have sent changes since the last call.
+		const revision = this.revision === undefined ? undefined : Math.max(this.revision, records.completeTo[prefix] ?? 0);
+		try {
+			await (revision === undefined ? this.list(prefix, signal) : this.watch(prefix, revision, waitMilliseconds, signal));
+			this.failures = 0;
+		} catch (error) {
+			this.failures += 1;
+			// A watch that fails before its wait is over lost its connection; until then no response was due.
+			const wasResponseDue = revision === undefined || clock.now() - startedAt >= waitMilliseconds;
+			this.handleFailure(wasResponseDue ? startedAt : clock.now(), error as Error, signal);
+			await abortableDelay(fullJitter(this.failures, backoff, random), signal);
 		}
 	}
 
-	/** Larger fleets use longer waits, so that the total call rate stays within the rate limit of the service. */
 	private chooseWatchMilliseconds(): number {
-		const {shortestWatchMilliseconds: shortest, longestWatchMilliseconds: {minimum, perNode, maximum}} = recordFollowerOptions;
-		const longest = Math.min(maximum, Math.max(minimum, this.nodeCount() * perNode));
-		return Math.round(shortest + (this.random() * (longest - shortest)));
+		const {shortestWatchMilliseconds: shortest, longestWatchMilliseconds: longest} = recordFollowerOptions;
+		return Math.round(shortest + (this.dependencies.random() * (longest - shortest)));
 	}
 
-	private async list(prefix: string, signal: AbortSignal): Promise<number> {
-		const listing = await this.source.list(prefix, signal);
-		this.handleResponse(prefix);
-		this.records.applyListing(prefix, listing.records, listing.revision);
-		return listing.revision;
+	private async list(prefix: string, signal: AbortSignal): Promise<void> {
+		const {source, records} = this.dependencies;
+		const listing = await source.list(prefix, ListingFreshness.current, signal);
+		this.handleResponse();
+		records.applyListing(prefix, listing.records, listing.revision);
+		this.revision = listing.revision;
+		this.dependencies.spread.recordOwnResponse(true);
 	}
 
-	/** Returns the revision to continue from; undefined when the records must be listed again. */
-	private async watch(prefix: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<number | undefined> {
-		const response = await this.source.watch(prefix, revision, waitMilliseconds, signal);
-		this.handleResponse(prefix);
+	/** Watches for changes after a revision. Without the history that this needs, the records are listed with the next call. */
+	private async watch(prefix: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<void> {
+		const {source, records, spread, log} = this.dependencies;
+		const response = await source.watch(prefix, revision, waitMilliseconds, signal);
+		this.handleResponse();
 		if (response.type === 'history-lost') {
-			this.log.write('configuration-history-lost', {prefix, revision});
-			return undefined;
+			log.write('configuration-history-lost', {prefix, revision});
+			this.revision = undefined;
+			return;
 		}
 
 		for (const record of response.records) {
-			this.records.apply(record, 'service');
+			records.apply(record, 'service');
 		}
 
-		this.records.markComplete(prefix, response.revision);
+		records.markComplete(prefix, response.revision);
+		this.revision = response.revision;
+		spread.recordOwnResponse(response.records.length > 0);
 		if (response.records.length > 0) {
 			await abortableDelay(recordFollowerOptions.changeBatchMilliseconds, signal);
 		}
-
-		return response.revision;
 	}
 
-	private handleResponse(prefix: string): void {
-		if (this.failingPrefixes.delete(prefix)) {
-			this.log.write('dependency-regained', {dependency: 'configuration-service', prefix});
+	private handleResponse(): void {
+		if (this.isFailing) {
+			this.isFailing = false;
+			this.dependencies.log.write('dependency-regained', {dependency: 'configuration-service'});
 		}
 
-		this.records.configurationService.recordResponse();
+		this.dependencies.records.configurationService.recordResponse();
 	}
 
-	private handleFailure(prefix: string, {failures, since, cause}: {failures: number; since: number; cause: string}): void {
-		this.records.configurationService.recordFailure(since);
-		if (!this.failingPrefixes.has(prefix)) {
-			this.failingPrefixes.add(prefix);
-			this.log.write('dependency-lost', {
-				dependency: 'configuration-service', prefix, failures, cause,
-			});
+	private handleFailure(since: number, error: Error, signal: AbortSignal): void {
+		if (signal.aborted) {
+			return;
+		}
+
+		const {records, spread, log} = this.dependencies;
+		records.configurationService.recordFailure(since);
+		spread.recordOwnFailure();
+		if (!this.isFailing) {
+			this.isFailing = true;
+			log.write('dependency-lost', {dependency: 'configuration-service', failures: this.failures, cause: error.message});
 		}
 	}
 }
--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -14,6 +14,7 @@
 import type {RunOutcome} from './link-messages.js';
 import type {ForwardedRequest} from './peer-link.js';
 import type {PeerLinks} from './peer-links.js';
+import {Neighbourhood} from './neighbourhood.js';
 import {Placement} from './placement.js';
 import {RequestHandler, type EntryResponse, type StopTimes} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
@@ -96,6 +97,7 @@
 	};
 	handler = new RequestHandler({
 		service: 'entry', targetAddress: {host: 'own', port: 80}, peerPort: 1, headers, records, profile, clock,
+		neighbourhood: new Neighbourhood({host: 'own', failureDomain: 'a'}, () => records.instances()), areRecordsConfirmed: () => true,
 		placement: new Placement('a', clock, () => 0.5), parentOfCall: attempt => attempt.split('.', 2).length > 1 ? attempt.split('.', 1)[0] : undefined,
 		budget: new RetryBudget({
 			ratio: 0.2, slack, windowMilliseconds: 10_000, nodeCount: () => 1, clock,
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -15,6 +15,7 @@
 import {instanceLeavingReason, RunResult, type RunOutcome} from './link-messages.js';
 import {forwardedHeaders, type HeaderList} from './message-headers.js';
 import type {PeerLinks} from './peer-links.js';
+import type {Neighbourhood} from './neighbourhood.js';
 import type {InstanceOutcome, Placement} from './placement.js';
 import type {RetryBudget} from './retry-budget.js';
 import type {RootAdmission} from './root-admission.js';
@@ -91,6 +92,7 @@
 	peerPort: number;
 	headers: HeaderNames;
 	records: FleetRecords;
+	neighbourhood: Neighbourhood;
 	placement: Placement;
 	parentOfCall: ParentOfCall;
 	budget: RetryBudget;
@@ -102,6 +104,8 @@
 	metrics: SidecarMetrics;
 	clock: Clock;
 	random: () => number;
+	/** False until the records are known to have been complete at some time since the start of the node. */
+	areRecordsConfirmed(): boolean;
 	/** Undefined until the node is asked to stop. */
 	stopTimes(): StopTimes | undefined;
 };
@@ -150,9 +154,9 @@
 
 	/** Calls `respond` at most once. Returns a function that cancels the request when its sender disconnects. */
 	handle(request: EntryRequest, respond: (response: EntryResponse) => void): () => void {
-		const {records, metrics} = this.dependencies;
+		const {records, areRecordsConfirmed, metrics} = this.dependencies;
 		const {policy} = records;
-		if (policy === undefined) {
+		if (policy === undefined || !areRecordsConfirmed()) {
 			respond(this.refusal('no-policy', requestFlowOptions.unavailableRetryAfterMilliseconds));
 			metrics.countRequest('none', 'refused', 'no-policy');
 			return doNothing;
@@ -369,12 +373,12 @@
 	}
 
 	private tryNextInstance(): void {
-		const {records, placement} = this.dependencies;
-		const instance = placement.choose({
-			candidates: records.instancesOf(this.service),
-			excluded: this.tried,
-			isReachable: candidate => this.handler.isReachable(candidate),
+		const {records, neighbourhood, placement} = this.dependencies;
+		const chooseAmong = (candidates: readonly TargetInstance[]) => placement.choose({
+			candidates, excluded: this.tried, isReachable: candidate => this.handler.isReachable(candidate),
 		});
+		// Instances outside the neighbourhood have no link yet, so they are used only if no other one can be.
+		const instance = chooseAmong(neighbourhood.instancesOf(this.service)) ?? chooseAmong(records.instancesOf(this.service));
 		if (instance === undefined) {
 			this.finishWithoutResponse(this.lastReason === '' ? 'no-instance' : this.lastReason, requestFlowOptions.unavailableRetryAfterMilliseconds);
 			return;
--- a/packages/sidecar/src/lib/service-availability.ts
+++ b/packages/sidecar/src/lib/service-availability.ts
@@ -1,5 +1,5 @@
 /**
- * Derives from the calls of this node whether the configuration service was unavailable long enough for entries of live targets to
+ * Derives from the calls of this node and from those that other nodes report whether the configuration service was unavailable long enough for entries of live targets to
  * expire. A single failed call is not an outage, because the connection of a waiting watch may be reset at any time.
  */
 
@@ -35,12 +35,21 @@
 	}
 
 	recordResponse(): void {
+		this.recordResponseAt(this.now());
+	}
+
+	/** Records a response of the service to this node or to another one at a given time. */
+	recordResponseAt(respondedAt: number): void {
+		this.lastResponseAt = Math.max(this.lastResponseAt, respondedAt);
+		if (this.failingSince !== undefined && respondedAt < this.failingSince) {
+			return;
+		}
+
 		if (this.isOutage()) {
 			this.recoveredAt = this.now();
 		}
 
 		this.failingSince = undefined;
-		this.lastResponseAt = this.now();
 	}
 
 	/** Records a failed call; `since` is the earliest time from which the service may have been unavailable. */
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -21,8 +21,10 @@
 } from './link-messages.js';
 import type {ForwardedRequest} from './peer-link.js';
 import {PeerLinks} from './peer-links.js';
+import {Neighbourhood} from './neighbourhood.js';
 import {Placement} from './placement.js';
 import {RecordFollower, type RecordSource} from './record-follower.js';
+import {RecordSpread} from './record-spread.js';
 import {RequestHandler, requestFlowOptions, type StopTimes} from './request-flow.js';
 import {RetryBudget} from './retry-budget.js';
 import {RootAdmission, type ServiceLoad} from './root-admission.js';
@@ -66,8 +68,8 @@
 	/** Time between two heartbeats of a target's entry in the configuration service. */
 	heartbeatMilliseconds: number;
 	retryBudget: {ratio: number; slack: number; windowMilliseconds: number};
-	/** Key prefixes of the records to watch. */
-	recordPrefixes: readonly string[];
+	/** Common key prefix of the records to read; may be empty. */
+	recordPrefix: string;
 };
 
 /** @public */
@@ -107,6 +109,8 @@
 	private readonly log: DecisionLog;
 	private readonly metrics = new SidecarMetrics();
 	private readonly records: FleetRecords;
+	private readonly spread: RecordSpread;
+	private readonly neighbourhood: Neighbourhood;
 	private readonly placement: Placement;
 	private readonly runner: TargetRunner;
 	private readonly profile = new CallProfile();
@@ -118,6 +122,7 @@
 	private readonly shutdown = new AbortController();
 	private readonly servers: Server[] = [];
 	private instanceByHost = new Map<string, string>();
+	private isTopologyOutdated = false;
 	private forwardedRequestCount = 0;
 	private stopTimes: StopTimes | undefined;
 	private nodeCount = 1;
@@ -132,6 +137,8 @@
 		const random = () => uniformFloat64(generator);
 		this.log = new DecisionLog({node: settings.node}, clock, dependencies.writeLog);
 		this.records = new FleetRecords({decode: dependencies.decode, heartbeatMilliseconds: settings.heartbeatMilliseconds, now: () => clock.now()});
+		this.neighbourhood = new Neighbourhood({host: settings.peerAddress.host, failureDomain: settings.failureDomain}, () => this.records.instances());
+		this.spread = new RecordSpread({records: this.records, clock, neighbours: () => this.links.recordNeighbours()});
 		this.admission = new RootAdmission(random);
 		this.placement = new Placement(settings.failureDomain, clock, random);
 		this.runner = new TargetRunner({
@@ -144,7 +151,8 @@
 		this.links = new PeerLinks(
 			{
 				isLeaving: () => this.isLeaving, revisions: () => this.records.revisions, load: () => this.runner.load,
-				calls: () => this.profile.localCallsByRoute(), retryShortfall: () => budget.shortfall(), records: () => this.records.createSnapshot(),
+				calls: () => this.profile.localCallsByRoute(), retryShortfall: () => budget.shortfall(),
+				changesSince: after => this.records.changesSince(after), progress: () => this.spread.progress(),
 			},
 			{
 				onForwardedRequest: (request, ageMilliseconds, settle) => this.runForwardedRequest(request, ageMilliseconds, settle),
@@ -154,8 +162,14 @@
 				onCalls: (peer, calls) => {
 					this.profile.recordPeerCalls(peer, calls);
 				},
-				onRecords: snapshot => {
-					this.records.applySnapshot(snapshot);
+				onProgress: (source, progress, messageAge) => {
+					this.spread.receiveProgress(source, progress, messageAge);
+				},
+				onRecords: (source, changes) => {
+					this.spread.receiveChanges(source, changes);
+				},
+				onNewerRecords: source => {
+					this.spread.requestChanges(source);
 				},
 				onRetryShortfall: shortfall => budget.grant(shortfall),
 				onGrant(retries, ageMilliseconds) {
@@ -169,7 +183,7 @@
 		);
 		this.requestHandler = new RequestHandler({
 			service: settings.service, targetAddress: settings.targetAddress, peerPort: settings.peerAddress.port, headers, records: this.records,
-			placement: this.placement, parentOfCall: dependencies.parentOfCall, budget,
+			neighbourhood: this.neighbourhood, areRecordsConfirmed: () => this.spread.confirmedAt !== undefined, placement: this.placement, parentOfCall: dependencies.parentOfCall, budget,
 			profile: this.profile, admission: this.admission, links: this.links, runner: this.runner, log: this.log, metrics: this.metrics, clock, random,
 			stopTimes: () => this.stopTimes,
 		});
@@ -177,7 +191,10 @@
 			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
 			handle: (request, respond) => this.requestHandler.handle(request, respond), clock,
 		});
-		this.follower = new RecordFollower(dependencies.createRecordSource(this.metrics), this.records, this.log, clock, random, () => this.nodeCount);
+		this.follower = new RecordFollower({
+			source: dependencies.createRecordSource(this.metrics), records: this.records, spread: this.spread, neighbourhood: this.neighbourhood,
+			log: this.log, clock, random, nodeCount: () => this.nodeCount,
+		});
 		this.records.onChange(change => {
 			this.handleRecordChange(change);
 		});
@@ -194,7 +211,7 @@
 			await this.startServer(settings.metricsAddress, async path => this.operatorResponse(path));
 		}
 
-		void this.follower.run(settings.recordPrefixes, this.shutdown.signal);
+		void this.follower.run(settings.recordPrefix, this.shutdown.signal);
 		this.scheduleHousekeeping();
 		this.scheduleAdmissionUpdate();
 	}
@@ -242,7 +259,8 @@
 
 	dump(): unknown {
 		return {
-			records: this.records.dump(), placement: this.placement.dump(), links: this.links.dump(), admission: this.admission.dump(), load: this.runner.load,
+			records: this.records.dump(), spread: this.spread.progress(), isWatcher: this.neighbourhood.isWatcher,
+			placement: this.placement.dump(), links: this.links.dump(), admission: this.admission.dump(), load: this.runner.load,
 		};
 	}
 
@@ -264,7 +282,7 @@
 	}
 
 	private isReady(): boolean {
-		return !this.isLeaving && this.records.policy !== undefined && this.instanceByHost.size > 0;
+		return !this.isLeaving && this.spread.confirmedAt !== undefined && this.records.policy !== undefined && this.instanceByHost.size > 0;
 	}
 
 	private runForwardedRequest(request: ForwardedRequest, ageMilliseconds: number, settle: (outcome: RunOutcome) => void): () => void {
@@ -314,6 +332,18 @@
 
 	private handleRecordChange(change: RecordChange): void {
 		this.log.write('belief', change);
+		this.neighbourhood.invalidate();
+		if (!this.isTopologyOutdated) {
+			this.isTopologyOutdated = true;
+			setImmediate(() => {
+				this.isTopologyOutdated = false;
+				this.applyTopology();
+			});
+		}
+	}
+
+	/** Applies the current instances to all components, once for all changes of a message. */
+	private applyTopology(): void {
 		const instances = this.records.instances();
 		this.instanceByHost = new Map(instances.map(instance => [instance.address.host, instance.name]));
 		this.placement.retain(new Set(instances.map(instance => instance.name)));
@@ -342,21 +372,24 @@
 
 			this.records.expireLapsed();
 			this.updateNodeCount();
-			// Requests the records without waiting for the next ping, because the node can't serve requests without a policy. Later changes are
-			// detected by the revisions in pings.
-			if (this.records.policy === undefined) {
-				this.links.requestRecords();
-			}
+			this.maintainLinks();
+			this.scheduleHousekeeping();
+		});
+	}
+
+	private maintainLinks(): void {
+		const {targetAddress, peerAddress} = this.settings;
+		for (const host of this.neighbourhood.exchangeHosts) {
+			this.links.ensureExchange({host, port: peerAddress.port});
+		}
 
-			const {targetAddress, peerAddress} = this.settings;
-			for (const {address} of this.records.instances()) {
-				if (address.host !== targetAddress.host) {
-					this.links.ensureLink({host: address.host, port: peerAddress.port});
-				}
+		for (const {address} of this.neighbourhood.targets) {
+			if (address.host !== targetAddress.host) {
+				this.links.ensureLink({host: address.host, port: peerAddress.port});
 			}
+		}
 
-			this.scheduleHousekeeping();
-		});
+		this.links.closeUnused();
 	}
 
 	private scheduleAdmissionUpdate(): void {
@@ -370,10 +403,10 @@
 		});
 	}
 
-	/** Total load of each service over the instances whose reports are fresh. */
+	/** Load of each service, summed over the instances of the neighbourhood whose reports are fresh: a sample of the service. */
 	private serviceLoads(): Map<string, ServiceLoad> {
 		const loads = new Map<string, ServiceLoad>();
-		for (const instance of this.records.instances()) {
+		for (const instance of this.neighbourhood.targets) {
 			const load = this.loadOf(instance);
 			if (load === undefined || instance.state !== 'ready') {
 				continue;
