placement: Each local instance with free capacity gets a request now and then

Change: an instance of the local domain with free slots and few failures that this node has not used for 4 s is sent one request.

--- a/packages/sidecar/src/lib/placement.ts
+++ b/packages/sidecar/src/lib/placement.ts
@@ -2,7 +2,8 @@
  * Chooses the instance for a request from the load reports of peers and the locally observed outcomes. Callers, slots and speeds
  * differ between failure domains, and traffic between domains costs money: the local domain is preferred until its instances are
  * busy, beyond that the lowest expected completion time wins. Jitter keeps nodes that hold the same reports from choosing the same
- * instance.
+ * instance. While there is free capacity, each instance of the local domain gets a request now and then: a slow or new one would
+ * otherwise get none, so that its service time and its failures stayed unknown until the others are busy.
  */
 import type {Clock} from './clock.js';
 import type {TargetInstance} from './fleet-model.js';
@@ -35,6 +36,10 @@
 	unusableMilliseconds: 3000,
 	/** Extra cost of an instance during its cold start, as a share of the expected time. */
 	coldCost: 1,
+	/** Time without a request from this node after which an instance with free capacity is sent one. */
+	trialIntervalMilliseconds: 4000,
+	/** Minimum success share for that; an instance that fails more often is tried by its cost only. */
+	trialSuccessShare: 0.9,
 } as const;
 
 /** @public */
@@ -44,6 +49,8 @@
 	load: LoadReport | undefined;
 	reportedAt: number;
 	inProgress: number;
+	/** Time at which this node last sent it a request; undefined if never. */
+	lastBegunAt: number | undefined;
 	successShare: number;
 	lastOutcomeAt: number;
 	avoidUntil: number;
@@ -72,6 +79,9 @@
 		let best: TargetInstance | undefined;
 		let bestCost = Number.POSITIVE_INFINITY;
 		const now = this.clock.now();
+		const trialBefore = now - placementOptions.trialIntervalMilliseconds;
+		let trial: TargetInstance | undefined;
+		let trialBegunAt = Number.POSITIVE_INFINITY;
 		for (const candidate of candidates) {
 			if (candidate.state !== 'ready' || excluded.has(candidate.name) || !isReachable(candidate)) {
 				continue;
@@ -82,13 +92,21 @@
 				best = candidate;
 				bestCost = cost;
 			}
+
+			const begunAt = this.stateOf(candidate.name).lastBegunAt ?? Number.NEGATIVE_INFINITY;
+			if (begunAt < trialBefore && begunAt < trialBegunAt && this.hasFreeCapacity(candidate, now)) {
+				trial = candidate;
+				trialBegunAt = begunAt;
+			}
 		}
 
-		return best;
+		return trial ?? best;
 	}
 
 	begin(instance: TargetInstance): void {
-		this.stateOf(instance.name).inProgress += 1;
+		const state = this.stateOf(instance.name);
+		state.inProgress += 1;
+		state.lastBegunAt = this.clock.now();
 	}
 
 	end(instance: TargetInstance, outcome: InstanceOutcome | undefined): void {
@@ -135,6 +153,15 @@
 		return Object.fromEntries(this.states);
 	}
 
+	/** True for an instance of the local domain that by a fresh report has free slots and serves its requests. */
+	private hasFreeCapacity(instance: TargetInstance, now: number): boolean {
+		const state = this.stateOf(instance.name);
+		const load = this.freshLoadOf(instance.name);
+		return load !== undefined && instance.failureDomain === this.localDomain && state.avoidUntil <= now
+			&& load.active + load.waiting < load.limit * placementOptions.busyUtilization
+			&& this.recoveredSuccessShare(state, now) * load.successShare >= placementOptions.trialSuccessShare;
+	}
+
 	private costOf(instance: TargetInstance, now: number): number {
 		const state = this.stateOf(instance.name);
 		if (state.avoidUntil > now) {
@@ -172,7 +199,7 @@
 		if (state === undefined) {
 			const now = this.clock.now();
 			state = {
-				load: undefined, reportedAt: now, inProgress: 0, successShare: 1, lastOutcomeAt: now, avoidUntil: 0, firstSeenAt: now,
+				load: undefined, reportedAt: now, inProgress: 0, lastBegunAt: undefined, successShare: 1, lastOutcomeAt: now, avoidUntil: 0, firstSeenAt: now,
 			};
 			this.states.set(name, state);
 		}
