sidecar: Placement knows the load of the local target

Cause: load reports come from peers only, so the target beside a node looked idle and fast (50 ms) to its own node however long its queue was, and got nearly all local requests for its service until it refused them. Change: the load of the local target is recorded before each choice among its service's instances. Test: request-flow.test.ts, a busy local target; failed before (no request was forwarded).

--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -34,6 +34,9 @@
 let profile: CallProfile;
 let stopTimes: StopTimes | undefined;
 
+/** Name of the instance beside this node. */
+const ownName = 'own';
+
 const headers = {
 	attempt: 'x-attempt', remainingTime: 'x-remaining', signature: 'x-signature', expectedInstance: 'x-expected', notRun: 'x-not-run', callerService: 'x-caller',
 };
@@ -56,7 +59,7 @@
 
 function instance(name: string): TargetInstance {
 	return {
-		name, service: name.startsWith('deep') ? 'intake' : 'racks', address: {host: `host-${name}`, port: 80}, failureDomain: 'a', slots: 4, state: 'ready',
+		name, service: name.startsWith('deep') ? 'intake' : 'racks', address: {host: name === ownName ? 'own' : `host-${name}`, port: 80}, failureDomain: 'a', slots: 4, state: 'ready',
 		startedAtUnixMilliseconds: 0, reportCount: 1, coldMilliseconds: 0,
 	};
 }
@@ -96,7 +99,7 @@
 		},
 	};
 	handler = new RequestHandler({
-		service: 'entry', targetAddress: {host: 'own', port: 80}, peerPort: 1, headers, records, profile, clock,
+		service: 'racks', targetAddress: {host: 'own', port: 80}, peerPort: 1, headers, records, profile, clock,
 		neighbourhood: new Neighbourhood({host: 'own', failureDomain: 'a'}, () => records.instances()), areRecordsConfirmed: () => true,
 		placement: new Placement('a', clock, () => 0.5), parentOfCall: attempt => attempt.split('.', 2).length > 1 ? attempt.split('.', 1)[0] : undefined,
 		budget: new RetryBudget({
@@ -238,6 +241,15 @@
 	});
 });
 
+it('a request goes to another instance while the one beside this node is busy', () => {
+	build([ownName, 'two']);
+	handler.dependencies.runner.queue.submit({
+		instance: ownName, rank: 0, latestStartAt: clock.now() + 1000, start: () => undefined, refuse: () => undefined,
+	});
+	send('/book/');
+	expect(sent.map(({host}) => host)).toEqual(['host-two']);
+});
+
 describe('a request at a node that stops is never cut off', () => {
 	// Requests have a timeout of 1000 ms and an objective of 500 ms.
 	it.each<[string, {sinceStop: number; untilEnd: number}, number]>([
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -152,6 +152,15 @@
 		return isSameAddress(instance.address, this.dependencies.targetAddress);
 	}
 
+	/** Gives the placement the load of the local target, which no peer reports. */
+	recordLocalLoad(): void {
+		const {neighbourhood, service, placement, runner} = this.dependencies;
+		const local = neighbourhood.instancesOf(service).find(instance => this.isLocal(instance));
+		if (local !== undefined) {
+			placement.recordLoad(local.name, runner.load);
+		}
+	}
+
 	/** Calls `respond` at most once. Returns a function that cancels the request when its sender disconnects. */
 	handle(request: EntryRequest, respond: (response: EntryResponse) => void): () => void {
 		const {records, areRecordsConfirmed, metrics} = this.dependencies;
@@ -374,6 +383,10 @@
 
 	private tryNextInstance(): void {
 		const {records, neighbourhood, placement} = this.dependencies;
+		if (this.service === this.dependencies.service) {
+			this.handler.recordLocalLoad();
+		}
+
 		const chooseAmong = (candidates: readonly TargetInstance[]) => placement.choose({
 			candidates, excluded: this.tried, isReachable: candidate => this.handler.isReachable(candidate),
 		});
