sidecar: One log line for each policy in force and a digest of the settings file

Cause: after a run with many changes nobody could tell which machine had held which settings: policy changes were lines among hundreds of changes of entries, which the rate limit drops, and a reload did not name the content. These lines are not dropped because of the rate.

--- a/packages/sidecar/src/lib/decision-log.ts
+++ b/packages/sidecar/src/lib/decision-log.ts
@@ -26,12 +26,21 @@
 
 /** Importance of a line while the rate is limited. @public */
 export const LineImportance = {
+	/** The life of the process and the policy and settings that it holds; rare, and never dropped because of the rate. */
+	always: 'always',
 	/** A failed or refused request, or a change of the known state. */
 	needed: 'needed',
 	/** A successful request. */
 	routine: 'routine',
 } as const;
 
+/** Tokens that the bucket must hold for a line. */
+const tokensNeeded: Readonly<Record<LineImportanceName, number>> = {
+	[LineImportance.always]: 0,
+	[LineImportance.needed]: 1,
+	[LineImportance.routine]: (decisionLogOptions.burstLines * decisionLogOptions.reservedBurstShare) + 1,
+};
+
 /** @public */
 export type LineImportanceName = (typeof LineImportance)[keyof typeof LineImportance];
 
@@ -73,13 +82,12 @@
 
 	write(event: string, fields: LogFields, importance: LineImportanceName = LineImportance.needed): void {
 		this.refill();
-		const reserved = importance === LineImportance.needed ? 0 : decisionLogOptions.burstLines * decisionLogOptions.reservedBurstShare;
-		if (this.tokens < reserved + 1) {
+		if (this.tokens < tokensNeeded[importance]) {
 			this.countOmitted(event);
 			return;
 		}
 
-		this.tokens -= 1;
+		this.tokens = Math.max(0, this.tokens - 1);
 		this.reportOmitted();
 		this.append(event, fields);
 	}
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -9,7 +9,9 @@
 import {redact} from '@hemlockthread/telemetry';
 import {CallProfile} from './call-profile.js';
 import {processClock, type Clock} from './clock.js';
-import {DecisionLog, type LogFields, type LogWriter} from './decision-log.js';
+import {
+	DecisionLog, LineImportance, type LogFields, type LogWriter,
+} from './decision-log.js';
 import {doNothing} from './do-nothing.js';
 import {EntryListener} from './entry-listener.js';
 import type {
@@ -68,6 +70,8 @@
 	/** Time between two heartbeats of a target's entry in the configuration service. */
 	heartbeatMilliseconds: number;
 	retryBudget: {ratio: number; slack: number; windowMilliseconds: number};
+	/** Identifies the content of the settings file, for the log. */
+	digest: string;
 	/** Common key prefix of the records to read; may be empty. */
 	recordPrefix: string;
 };
@@ -123,6 +127,7 @@
 	private readonly servers: Server[] = [];
 	private instanceByHost = new Map<string, string>();
 	private isTopologyOutdated = false;
+	private loggedPolicyVersion: number | undefined;
 	private forwardedRequestCount = 0;
 	private stopTimes: StopTimes | undefined;
 	private nodeCount = 1;
@@ -202,7 +207,7 @@
 
 	async start(): Promise<void> {
 		const {settings} = this;
-		this.log.write('start', {service: settings.service, failureDomain: settings.failureDomain});
+		this.log.write('start', {service: settings.service, failureDomain: settings.failureDomain, settingsDigest: settings.digest}, LineImportance.always);
 		await this.links.listen(settings.peerAddress);
 		await this.entry.listen();
 		await this.startServer(settings.readyAddress, path => path === settings.readyPath ? {status: this.isReady() ? 200 : 503, body: ''} : undefined);
@@ -249,12 +254,12 @@
 	}
 
 	logFatalError(error: Error): void {
-		this.log.write('fatal-error', {message: error.message, stack: error.stack});
+		this.log.write('fatal-error', {message: error.message, stack: error.stack}, LineImportance.always);
 		this.log.flush();
 	}
 
 	logReload(fields: Record<string, string>): void {
-		this.log.write('reload', fields);
+		this.log.write('reload', fields, LineImportance.always);
 	}
 
 	dump(): unknown {
@@ -332,6 +337,7 @@
 
 	private handleRecordChange(change: RecordChange): void {
 		this.log.write('belief', change);
+		this.logPolicyChange(change);
 		this.neighbourhood.invalidate();
 		if (!this.isTopologyOutdated) {
 			this.isTopologyOutdated = true;
@@ -342,6 +348,21 @@
 		}
 	}
 
+	/** Writes one line for each policy that comes into force, from which it can be told which node held which version at what time. */
+	private logPolicyChange({revision, source}: RecordChange): void {
+		const version = this.records.policy?.version;
+		if (version === undefined || version === this.loggedPolicyVersion) {
+			return;
+		}
+
+		const {confirmedAt} = this.spread;
+		this.log.write('policy-in-force', {
+			version, previousVersion: this.loggedPolicyVersion, revision, source,
+			confirmedMilliseconds: confirmedAt === undefined ? undefined : Math.round(this.clock.now() - confirmedAt),
+		}, LineImportance.always);
+		this.loggedPolicyVersion = version;
+	}
+
 	/** Applies the current instances to all components, once for all changes of a message. */
 	private applyTopology(): void {
 		const instances = this.records.instances();
