sidecar: Fewer messages between nodes of large fleets

Change: eight instead of twelve instances of each service; pings at an interval that grows with the number of links, to two seconds; call counts every five seconds instead of with each pong. A link with a request in progress is still checked after 300 ms.

--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -100,7 +100,7 @@
 /** @public */
 export type PongMessage = LinkStamp & {
 	type: typeof LinkMessageType.pong; leaving: boolean; revisions: RevisionSummary; load: LoadReport;
-	/** Omitted by earlier versions. */
+	/** Omitted while the last report on the link is recent. */
 	calls?: CallsByRoute;
 	/** Recent shortfall of the sender's retry budget; omitted if there was none. */
 	retryShortfall?: RetriesByService;
--- a/packages/sidecar/src/lib/neighbourhood.test.ts
+++ b/packages/sidecar/src/lib/neighbourhood.test.ts
@@ -10,7 +10,7 @@
 /** Services with their share of the fleet, as in a deployment of the users. */
 const services: ReadonlyArray<readonly [string, number]> = [['provenance', 0.47], ['releases', 0.31], ['intake', 0.13], ['racks', 0.09]];
 const sizes = [30, 300, 1340];
-/** Twelve instances of each of four services, and six neighbours chosen here. */
+/** The instances of four services, and six neighbours chosen here. */
 const maximumDialled = (4 * neighbourhoodOptions.instancesPerService) + 6;
 
 function fleetOf(size: number, seed: number): TargetInstance[] {
--- a/packages/sidecar/src/lib/neighbourhood.ts
+++ b/packages/sidecar/src/lib/neighbourhood.ts
@@ -12,9 +12,9 @@
 /** @public */
 export const neighbourhoodOptions = {
 	/** Instances of each service that a node sends requests to. */
-	instancesPerService: 12,
+	instancesPerService: 8,
 	/** The part of these that may be in the local failure domain. */
-	localInstancesPerService: 8,
+	localInstancesPerService: 5,
 	/** Nodes of the fleet that watch the configuration service, in different failure domains if there are as many. */
 	watchers: 3,
 	/** Substitutes for watchers that are told apart by rank; all others have the same rank. */
--- a/packages/sidecar/src/lib/peer-link.ts
+++ b/packages/sidecar/src/lib/peer-link.ts
@@ -25,8 +25,13 @@
 	pingAfterMilliseconds: 300,
 	/** Time without any data after a ping, after which a peer gets no new requests; it allows many round trips between failure domains. */
 	suspectMilliseconds: 250,
-	/** Interval between pings, which also exchange revisions, load reports and call counts. */
-	pingIntervalMilliseconds: 1000,
+	/**
+	 * Interval between pings, which also exchange revisions and load reports: with many links longer, so that the messages of a node are
+	 * bounded. While a request is in progress on a link, its peer is pinged much earlier.
+	 */
+	pingIntervalMilliseconds: {minimum: 1000, perLink: 40, maximum: 2000},
+	/** Interval between reports of call counts, which change slowly. */
+	callsIntervalMilliseconds: 5000,
 	/** Minimum interval between load reports in results. With older reports, entry nodes choose the same instance at the same time. */
 	reportIntervalMilliseconds: 5,
 	/** Silence after a ping that closes the link, as in a network partition or at a peer without processor time. */
@@ -122,6 +127,7 @@
 	private readonly startedAt: number;
 	private lastPingAt = 0;
 	private loadReportedAt = Number.NEGATIVE_INFINITY;
+	private callsReportedAt = Number.NEGATIVE_INFINITY;
 	private silentSincePingAt: number | undefined;
 	private sentSecondPing = false;
 	/** True while the delay before requesting newer records from the peer runs. */
@@ -147,7 +153,7 @@
 		[LinkMessageType.ping]: message => {
 			this.receiveState(message);
 			this.send({
-				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(), calls: this.local.calls(),
+				type: LinkMessageType.pong, ...this.stamp(), leaving: this.local.isLeaving(), revisions: this.local.revisions(), load: this.local.load(), calls: this.dueCalls(),
 				retryShortfall: this.local.retryShortfall(),
 			});
 		},
@@ -160,7 +166,10 @@
 			}
 
 			this.events.onLoad(this.peer, message.load);
-			this.events.onCalls(this.peer, message.calls ?? {});
+			if (message.calls !== undefined) {
+				this.events.onCalls(this.peer, message.calls);
+			}
+
 			const retries = message.retryShortfall === undefined ? undefined : this.events.onRetryShortfall(message.retryShortfall);
 			if (retries !== undefined) {
 				this.send({type: LinkMessageType.grant, ...this.stamp(), retries});
@@ -293,7 +302,7 @@
 	 * Closes a dialled link if nothing arrived for too long after a ping. Otherwise pings, unless nothing has arrived since the last
 	 * ping: at the regular interval, and earlier if results are pending and nothing arrived for a while.
 	 */
-	check(): void {
+	check(pingIntervalMilliseconds: number): void {
 		if (!this.isOpen) {
 			return;
 		}
@@ -306,14 +315,14 @@
 		}
 
 		const awaitsResult = this.pending.size > 0 && silence >= peerLinkOptions.pingAfterMilliseconds;
-		if (this.silentSincePingAt === undefined && (awaitsResult || now - this.lastPingAt >= peerLinkOptions.pingIntervalMilliseconds)) {
+		if (this.silentSincePingAt === undefined && (awaitsResult || now - this.lastPingAt >= pingIntervalMilliseconds)) {
 			this.ping();
 		}
 	}
 
 	/** Closes an accepted link whose peer has stopped pinging. */
 	checkAccepted(): void {
-		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.pingIntervalMilliseconds + peerLinkOptions.silenceTimeoutMilliseconds) * 2) {
+		if (this.clock.now() - this.lastReceivedAt > (peerLinkOptions.pingIntervalMilliseconds.maximum + peerLinkOptions.silenceTimeoutMilliseconds) * 2) {
 			this.close(closeReasons.silent);
 		}
 	}
@@ -392,6 +401,21 @@
 		}
 	}
 
+	private dueCalls(): CallsByRoute | undefined {
+		const now = this.clock.now();
+		if (now - this.callsReportedAt < peerLinkOptions.callsIntervalMilliseconds) {
+			return undefined;
+		}
+
+		const calls = this.local.calls();
+		// The first counts are reported as soon as there are any.
+		if (Object.keys(calls).length > 0) {
+			this.callsReportedAt = now;
+		}
+
+		return calls;
+	}
+
 	/** Returns the local load if a report is due; a refusal always reports the load that caused it. */
 	private dueLoadReport(outcome: RunOutcome): LoadReport | undefined {
 		const now = this.clock.now();
--- a/packages/sidecar/src/lib/peer-links.ts
+++ b/packages/sidecar/src/lib/peer-links.ts
@@ -163,8 +163,10 @@
 
 	private scheduleCheck(): void {
 		this.cancelCheck = this.clock.after(peerLinkOptions.checkIntervalMilliseconds, () => {
+			const {minimum, perLink, maximum} = peerLinkOptions.pingIntervalMilliseconds;
+			const pingInterval = Math.min(maximum, Math.max(minimum, this.dialled.size * perLink));
 			for (const link of this.dialled.values()) {
-				link.check();
+				link.check(pingInterval);
 			}
 
 			for (const link of this.accepted) {
--- a/packages/sidecar/src/lib/placement.ts
+++ b/packages/sidecar/src/lib/placement.ts
@@ -22,8 +22,8 @@
 	initialMeanMilliseconds: 50,
 	/** Age at which a report counts half. */
 	reportHalfLifeMilliseconds: 1000,
-	/** Age up to which a report counts towards the load of its service; a multiple of the ping interval. */
-	maximumReportAgeMilliseconds: 2500,
+	/** Age up to which a report counts towards the load of its service; a multiple of the longest ping interval. */
+	maximumReportAgeMilliseconds: 5000,
 	/** Width of the random spread of each candidate's cost, as a share of it. */
 	jitter: 0.1,
 	/** Weight of a new outcome in the moving average of an instance's success share. */
--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -48,7 +48,7 @@
 	/** Pause after a change, so that changes in quick succession are read with one call. */
 	changeBatchMilliseconds: 200,
 	/** Interval at which the node checks whether it is to call the service. */
-	dutyCheckMilliseconds: 50,
+	dutyCheckMilliseconds: 200,
 	/** Interval between listings of a node that knows no other node. */
 	searchMilliseconds: 700,
 	/** Listings after which a node that still knows no other node is taken to be alone. */
