link-messages: Malformed fields that a node would keep are rejected with their message

Cause: records, revisions, call counts and grants of a peer were kept unchecked; a malformed one would have failed later, in a timer or at another request, where the error ends the process. Change: message-checks.ts checks them while the message is decoded, so that only the link is closed. Test: ten malformed messages in link-messages.test.ts.

--- a/packages/sidecar/src/lib/link-messages.test.ts
+++ b/packages/sidecar/src/lib/link-messages.test.ts
@@ -78,3 +78,18 @@
 ])('%s is a protocol error', (_name, bytes) => {
 	expect(() => decodeMessages(bytes)).toThrow();
 });
+
+it.each<[string, unknown[]]>([
+	['records that are no list', [LinkMessageType.records, 'x', {}, {}]],
+	['a record without a key', [LinkMessageType.records, [{revision: 1}], {}, {}]],
+	['a record whose value is no text', [LinkMessageType.records, [{key: 'k', revision: 1, value: 5}], {}, {}]],
+	['a revision that is no number', [LinkMessageType.requestRecords, {k: 'x'}]],
+	['progress without revisions', [LinkMessageType.progress, 1, 2, null, 3, 4]],
+	['progress with an age that is no number', [LinkMessageType.progress, 1, 2, {}, 'x', 4]],
+	['calls that are no object', [LinkMessageType.pong, 1, 2, false, revisions, [1, 2, 3, 4, 1], 5]],
+	['counts of calls that are no numbers', [LinkMessageType.pong, 1, 2, false, revisions, [1, 2, 3, 4, 1], {r: {q: 'x'}}]],
+	['a load that is no list', [LinkMessageType.pong, 1, 2, false, revisions, 7]],
+	['grants that are no numbers', [LinkMessageType.grant, 1, 2, {s: null}]],
+])('a message that a node would keep is rejected with %s', (_name, fields) => {
+	expect(() => decodeMessages(new Packr({useRecords: false}).pack([fields]))).toThrow();
+});
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -9,6 +9,9 @@
 import type {CompleteTo, RecordChanges, StoredRecord} from './fleet-model.js';
 import type {RevisionSummary} from './fleet-records.js';
 import type {RecordProgress} from './record-spread.js';
+import {
+	checkCalls, checkNumbers, checkOptionalNumber, checkRecords,
+} from './message-checks.js';
 import type {RetriesByService} from './retry-budget.js';
 
 /** @public */
@@ -258,20 +261,23 @@
 		type: LinkMessageType.result, id, outcome: outcomeFromList(outcome), load: load === undefined ? undefined : loadFromList(load),
 	}),
 	[LinkMessageType.ping]: ([, sentAt, heard, leaving, revisions]) => ({
-		type: LinkMessageType.ping, sentAt, heard, leaving, revisions,
+		type: LinkMessageType.ping, sentAt, heard, leaving, revisions: checkNumbers(revisions, 'revisions') as RevisionSummary,
 	}),
 	[LinkMessageType.pong]: ([, sentAt, heard, leaving, revisions, load, calls, retryShortfall]) => ({
-		type: LinkMessageType.pong, sentAt, heard, leaving, revisions, load: loadFromList(load), calls, retryShortfall,
+		type: LinkMessageType.pong, sentAt, heard, leaving, revisions: checkNumbers(revisions, 'revisions') as RevisionSummary, load: loadFromList(load),
+		calls: calls === undefined ? undefined : checkCalls(calls), retryShortfall: retryShortfall === undefined ? undefined : checkNumbers(retryShortfall, 'retryShortfall'),
 	}),
-	[LinkMessageType.requestRecords]: ([, after]) => ({type: LinkMessageType.requestRecords, after: after ?? {}}),
+	[LinkMessageType.requestRecords]: ([, after]) => ({type: LinkMessageType.requestRecords, after: checkNumbers(after ?? {}, 'after')}),
 	[LinkMessageType.records]: ([, records, completeTo, after]) => ({
-		type: LinkMessageType.records, records, completeTo: completeTo ?? {}, after: after ?? {},
+		type: LinkMessageType.records, records: checkRecords(records), completeTo: checkNumbers(completeTo ?? {}, 'completeTo'),
+		after: checkNumbers(after ?? {}, 'after'),
 	}),
 	[LinkMessageType.progress]: ([, sentAt, heard, completeTo, confirmedAge, attemptAge]) => ({
-		type: LinkMessageType.progress, sentAt, heard, completeTo, confirmedAge, attemptAge,
+		type: LinkMessageType.progress, sentAt, heard, completeTo: checkNumbers(completeTo, 'completeTo'),
+		confirmedAge: checkOptionalNumber(confirmedAge, 'confirmedAge'), attemptAge: checkOptionalNumber(attemptAge, 'attemptAge'),
 	}),
 	[LinkMessageType.grant]: ([, sentAt, heard, retries]) => ({
-		type: LinkMessageType.grant, sentAt, heard, retries,
+		type: LinkMessageType.grant, sentAt, heard, retries: checkNumbers(retries, 'retries'),
 	}),
 };
 
