record-follower: A watcher that lost the history watches on from what its neighbours sent

Cause: the follower kept a revision of its own; after lost history, or a start without a listing, it listed all records (four calls at 200 entries) although a neighbour had sent the changes. Change: the revision to watch from is the one to which the records are complete. Test: record-follower.test.ts, the calls in four situations.

--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -78,7 +78,8 @@
  */
 export class RecordFollower {
 	private readonly startedAt: number;
-	private revision: number | undefined;
+	/** Revision after which the service has dropped the history; changes after it must be listed, or come from a neighbour. */
+	private historyLostAfter = Number.NEGATIVE_INFINITY;
 	private failures = 0;
 	private searches = 0;
 	private isFailing = false;
@@ -120,7 +121,6 @@
 			// The stated revision may be newer than the listed records, which are complete at least up to the newest one among them.
 			const revision = Math.max(0, ...listing.records.map(record => record.revision));
 			records.applyListing(prefix, listing.records, revision);
-			this.revision = revision === 0 ? undefined : revision;
 		} catch (error) {
 			this.handleFailure(this.dependencies.clock.now(), error as Error, signal);
 		}
@@ -143,8 +143,9 @@
 		const startedAt = clock.now();
 		const isRegular = this.failures === 0 && neighbourhood.isWatcher;
 		const waitMilliseconds = isRegular ? this.chooseWatchMilliseconds() : recordFollowerOptions.probeWatchMilliseconds;
-		// Neighbours may have sent changes since the last call.
-		const revision = this.revision === undefined ? undefined : Math.max(this.revision, records.completeTo[prefix] ?? 0);
+		// Includes changes that neighbours have sent since the last call.
+		const completeTo = records.completeTo[prefix] ?? Number.NEGATIVE_INFINITY;
+		const revision = completeTo > this.historyLostAfter ? completeTo : undefined;
 		try {
 			await (revision === undefined ? this.list(prefix, signal) : this.watch(prefix, revision, waitMilliseconds, signal));
 			this.failures = 0;
@@ -167,18 +168,18 @@
 		const listing = await source.list(prefix, ListingFreshness.current, signal);
 		this.handleResponse();
 		records.applyListing(prefix, listing.records, listing.revision);
-		this.revision = listing.revision;
+		this.historyLostAfter = Number.NEGATIVE_INFINITY;
 		this.dependencies.spread.recordOwnResponse(true);
 	}
 
-	/** Watches for changes after a revision. Without the history that this needs, the records are listed with the next call. */
+	/** Watches for changes after a revision. Without the history that this needs, the next call lists the records, unless a neighbour sends the changes. */
 	private async watch(prefix: string, revision: number, waitMilliseconds: number, signal: AbortSignal): Promise<void> {
 		const {source, records, spread, log} = this.dependencies;
 		const response = await source.watch(prefix, revision, waitMilliseconds, signal);
 		this.handleResponse();
 		if (response.type === 'history-lost') {
 			log.write('configuration-history-lost', {prefix, revision});
-			this.revision = undefined;
+			this.historyLostAfter = revision;
 			return;
 		}
 
@@ -187,7 +188,6 @@
 		}
 
 		records.markComplete(prefix, response.revision);
-		this.revision = response.revision;
 		spread.recordOwnResponse(response.records.length > 0);
 		if (response.records.length > 0) {
 			await abortableDelay(recordFollowerOptions.changeBatchMilliseconds, signal);
