record-follower: A cheap listing of several pages counts as incomplete

Cause: pages are read one after another, and those that may be outdated can come from different times: a change to an earlier page could be missing although a later page held a newer record, and the node would have taken its records as complete up to there. Found by reading. Change: only a listing of one page is complete up to its newest record; after others a node fetches all records from a neighbour, and a watcher lists the current ones. Test: record-follower.test.ts, a listing of two pages; failed before.

--- a/packages/sidecar/src/lib/record-follower.test.ts
+++ b/packages/sidecar/src/lib/record-follower.test.ts
@@ -32,15 +32,15 @@
 });
 
 /** Runs a follower and returns its calls; watches get the given responses in turn, and then none. */
-async function callsOf({listed, watches, isWatcher, onHistoryLost}: {
-	listed: StoredRecord[]; watches: WatchResponse[]; isWatcher: boolean; onHistoryLost?: (records: FleetRecords) => void;
+async function callsOf({listed, pages = 1, watches, isWatcher, onHistoryLost}: {
+	listed: StoredRecord[]; pages?: number; watches: WatchResponse[]; isWatcher: boolean; onHistoryLost?: (records: FleetRecords) => void;
 }): Promise<string[]> {
 	const records = new FleetRecords({decode: () => ({type: 'instance', instance: otherInstance}), heartbeatMilliseconds: 1500, now: () => processClock.now()});
 	const calls: string[] = [];
 	const source: RecordSource = {
 		async list(_prefix, freshness) {
 			calls.push(`list ${freshness}`);
-			return {records: listed, revision: 9};
+			return {records: listed, revision: 9, pages};
 		},
 		async watch(_prefix, afterRevision, _wait, signal) {
 			calls.push(`watch after ${afterRevision}`);
@@ -77,6 +77,9 @@
 	['a watcher watches from the newest record of the cheap listing, not from its stated revision', {
 		listed: [record(5)], watches: [changes(7)], isWatcher: true,
 	}, ['list possibly-outdated', 'watch after 5', 'watch after 7']],
+	['a watcher lists the current records after a cheap listing of several pages, which may lack changes', {
+		listed: [record(5)], pages: 2, watches: [], isWatcher: true,
+	}, ['list possibly-outdated', 'list current', 'watch after 9']],
 	['a watcher lists the records when the history is lost', {
 		listed: [record(5)], watches: [{type: 'history-lost'}], isWatcher: true,
 	}, ['list possibly-outdated', 'watch after 5', 'list current', 'watch after 9']],
--- a/packages/sidecar/src/lib/record-follower.ts
+++ b/packages/sidecar/src/lib/record-follower.ts
@@ -14,7 +14,12 @@
 import {millisecondsUntilCall} from './watch-duty.js';
 
 /** @public */
-export type RecordListing = {records: StoredRecord[]; revision: number};
+export type RecordListing = {
+	records: StoredRecord[];
+	revision: number;
+	/** Number of calls that the listing took; the records of several calls are of different times. */
+	pages: number;
+};
 
 /** @public */
 export type WatchResponse = {type: 'changes'; records: StoredRecord[]; revision: number} | {type: 'history-lost'};
@@ -118,8 +123,9 @@
 		this.searches += 1;
 		try {
 			const listing = await source.list(prefix, ListingFreshness.possiblyOutdated, signal);
-			// The stated revision may be newer than the listed records, which are complete at least up to the newest one among them.
-			const revision = Math.max(0, ...listing.records.map(record => record.revision));
+			// The stated revision may be newer than the listed records. Those of one page are complete at least up to the newest one among
+			// them; those of several pages may lack a change to an earlier page.
+			const revision = listing.pages === 1 ? Math.max(0, ...listing.records.map(record => record.revision)) : 0;
 			records.applyListing(prefix, listing.records, revision);
 		} catch (error) {
 			this.handleFailure(this.dependencies.clock.now(), error as Error, signal);
