request-flow: A required service counts as unreachable if no instance of the neighbourhood is reachable

Cause: with bounded neighbourhoods a node has no links to most instances, and one without a link counts as reachable until it was dialled. In a partition, a request whose calls need another domain was admitted for such instances, and failed after it had run in part. Found by reading. Change: only instances of the neighbourhood, which are dialled and pinged, count.

--- a/packages/sidecar/src/lib/request-flow.test.ts
+++ b/packages/sidecar/src/lib/request-flow.test.ts
@@ -241,6 +241,20 @@
 	});
 });
 
+it('a request that requires a downstream service is refused on receipt while no instance of the neighbourhood is reachable', () => {
+	build(['one', ...Array.from({length: 12}, (_, index) => `deep-${index}`)]);
+	for (let run = 0; run < 10; run += 1) {
+		profile.recordRun('book');
+		profile.recordCall('book', 'deep');
+	}
+
+	// The node has no links to the others, so that it can't know whether they are reachable.
+	unreachable = new Set(handler.dependencies.neighbourhood.instancesOf('intake').map(({address}) => address.host));
+	expect(unreachable.size).toBeLessThan(12);
+	expect(send('/book/').responses.map(({status}) => status)).toEqual([503]);
+	expect(sent).toHaveLength(0);
+});
+
 it('a request goes to another instance while the one beside this node is busy', () => {
 	build([ownName, 'two']);
 	handler.dependencies.runner.queue.submit({
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -274,17 +274,17 @@
 	}
 
 	/**
-	 * Returns a downstream service that the request requires and that has no reachable instance, as in a partitioned failure
+	 * Returns a downstream service that the request requires and that has no reachable instance in the neighbourhood, as in a partitioned failure
 	 * domain. The request would fail at that call after it had run in part, so the caller could not be told that it did not run.
 	 */
 	private unreachableDownstream(requestCounts: ReadonlyMap<string, number>, requestedService: string): string | undefined {
-		const {records} = this.dependencies;
+		const {neighbourhood} = this.dependencies;
 		for (const [service, count] of requestCounts) {
 			if (service === requestedService || count < requestFlowOptions.requiredCallsPerRequest) {
 				continue;
 			}
 
-			if (!records.instancesOf(service).some(instance => instance.state === 'ready' && this.isReachable(instance))) {
+			if (!neighbourhood.instancesOf(service).some(instance => this.isReachable(instance))) {
 				return service;
 			}
 		}
