review/4: A joining node makes the whole fleet keep a server that left

The case no longer needs killed processes and an old listing. While the connections to the store are silent, a node that joins gives its neighbours all changes but the removal that it never saw, and all of them take their records as complete.

--- a/review/support/deployment.js
+++ b/review/support/deployment.js
@@ -38,9 +38,10 @@
 	#folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 	#isStopping = false;
 	#ports;
+	#storeHost;
 	#version = 5;
 
-	/** `machines` holds the service and the zone of each machine, `routes` the specifications of the manifest's routes. */
+	/** `machines` holds the service and the zone of each machine, and whether it joins later; `routes` the specifications of the manifest's routes. */
 	constructor({machines, routes}) {
 		// No process outlives the script, however it ends.
 		process.on('exit', () => {
@@ -49,30 +50,32 @@
 			}
 		});
 		const network = `127.${80 + Math.floor(Math.random() * 40)}.${1 + Math.floor(Math.random() * 250)}`;
+		this.#storeHost = `${network}.5`;
 		this.routes = routes;
-		this.machines = machines.map(({service, zone}, index) => ({
-			index, service, zone, host: `${network}.${20 + index}`, storeHost: `${network}.${120 + index}`, server: new SoundServer(`i-${index}`),
+		this.machines = machines.map(({service, zone, joinsLater = false}, index) => ({
+			index, service, zone, joinsLater, host: `${network}.${20 + index}`, server: new SoundServer(`i-${index}`),
 			process: undefined, startedAt: 0, isEndExpected: false,
 		}));
 	}
 
 	async start() {
-		const [server, entry, ready, peer, store] = await freePorts(this.machines.flatMap(({host, storeHost}) => [host, storeHost]), 5);
+		const [server, entry, ready, peer, store] = await freePorts([this.#storeHost, ...this.machines.map(({host}) => host)], 5);
 		this.#ports = {
 			server, entry, ready, peer, store,
 		};
-		await this.store.listen(this.machines.map(({storeHost}) => storeHost), store);
+		await this.store.listen(this.#storeHost, store);
 		this.publishManifest();
+		const machines = this.machines.filter(({joinsLater}) => !joinsLater);
 		for (const machine of this.machines) {
 			await machine.server.listen(machine.host, server);
-			this.publishServer(machine);
 		}
 
-		for (const machine of this.machines) {
+		for (const machine of machines) {
+			this.publishServer(machine);
 			this.startNode(machine);
 		}
 
-		await this.waitUntilReady();
+		await this.waitUntilReady(machines);
 		// The nodes open their links.
 		await delay(1500);
 	}
@@ -143,7 +146,7 @@
 		machine.process?.kill(name);
 	}
 
-	async waitUntilReady(machines = this.machines, milliseconds = 20_000) {
+	async waitUntilReady(machines, milliseconds = 20_000) {
 		const endAt = performance.now() + milliseconds;
 		for (const machine of machines) {
 			while (await this.status(machine, this.#ports.ready, '/hemlockthread/readyz') !== 200) {
@@ -216,11 +219,11 @@
 		rmSync(this.#folder, {recursive: true, force: true});
 	}
 
-	#renderSettings({index, host, storeHost, service, zone}) {
+	#renderSettings({index, host, service, zone}) {
 		const {server, entry, ready, peer, store} = this.#ports;
 		const fields = {
 			node: `sidecar-${zone}-${index}`, service, zone, ip: host, appAddress: `${host}:${server}`, listen: {outbound: `${host}:${entry}`, ready: `${host}:${ready}`},
-			portRange: [peer, peer + 15], provider: {address: `${storeHost}:${store}`}, bounds, heartbeat: '1500ms',
+			portRange: [peer, peer + 15], provider: {address: `${this.#storeHost}:${store}`}, bounds, heartbeat: '1500ms',
 		};
 		const template = readFileSync(path.join(repository, 'deploy/node-settings.json'), 'utf8');
 		return template.replaceAll(/\{\{(?<name>[\w.]+)\|json\}\}/gv, (_match, name) => {
--- a/review/support/store.js
+++ b/review/support/store.js
@@ -1,5 +1,5 @@
 /**
- * A stand-in for the platform's store: listings, stale listings, watches with history.
+ * A stand-in for the platform's store: listings, and watches with their history.
  */
 import {Buffer} from 'node:buffer';
 import {once} from 'node:events';
@@ -9,23 +9,25 @@
 const pageSize = 500;
 
 export class Store {
-	/** Returns by how many milliseconds a stale read at an address of the store is behind. */
-	staleMilliseconds = () => 0;
 	#items = new Map();
 	#history = [];
 	#revision = 100;
 	#watches = new Set();
-	#servers = [];
-
-	async listen(hosts, port) {
-		for (const host of hosts) {
-			const server = createServer((request, response) => {
-				this.#receive(request, response);
+	#server = createServer((request, response) => {
+		this.#receive(request, response);
+	});
+	#sockets = new Set();
+	#silentSockets = new WeakSet();
+
+	async listen(host, port) {
+		this.#server.on('connection', socket => {
+			this.#sockets.add(socket);
+			socket.on('close', () => {
+				this.#sockets.delete(socket);
 			});
-			server.listen(port, host);
-			await once(server, 'listening');
-			this.#servers.push(server);
-		}
+		});
+		this.#server.listen(port, host);
+		await once(this.#server, 'listening');
 	}
 
 	/** Writes an item; returns the time of the confirmation. */
@@ -45,20 +47,32 @@
 		return this.#publish({key, revision: this.#revision, deleted: true});
 	}
 
-	close() {
-		for (const server of this.#servers) {
-			server.close();
-			server.closeAllConnections();
+	/** Lets all open connections go silent: nothing more is answered on them, whereas new connections work. */
+	silenceConnections() {
+		for (const socket of this.#sockets) {
+			this.#silentSockets.add(socket);
+		}
+
+		for (const watch of this.#watches) {
+			watch.cancel();
 		}
 	}
 
+	close() {
+		this.#server.close();
+		this.#server.closeAllConnections();
+	}
+
 	#receive(request, response) {
+		if (this.#silentSockets.has(request.socket)) {
+			return;
+		}
+
 		const url = new URL(request.url, 'http://store');
 		const prefix = url.searchParams.get('prefix') ?? '';
 		const after = url.searchParams.get('after') ?? '';
 		if (url.pathname === '/hemlockthread/kv-range') {
-			const isStale = url.searchParams.get('allowStale') === '1';
-			this.#range(prefix, after, isStale ? this.staleMilliseconds(request.headers.host.split(':', 1)[0]) : 0, response);
+			this.#range(prefix, after, response);
 		} else if (url.pathname === '/hemlockthread/kv-watch') {
 			this.#watch(prefix, Number(after), Number(url.searchParams.get('waitMs')), response);
 		} else {
@@ -66,34 +80,13 @@
 		}
 	}
 
-	#range(prefix, after, staleMilliseconds, response) {
-		const {items, revision} = staleMilliseconds > 0 ? this.#viewAt(performance.now() - staleMilliseconds) : {items: this.#items, revision: this.#revision};
-		const matching = [...items.values()].filter(({key}) => key.startsWith(prefix) && key > after).toSorted((first, second) => first.key < second.key ? -1 : 1);
-		sendJson(response, {items: matching.slice(0, pageSize), hasMore: matching.length > pageSize, currentRev: revision});
-	}
-
-	/** The items and the revision at an earlier time. */
-	#viewAt(time) {
-		const items = new Map();
-		let revision = 100;
-		for (const {event, at} of this.#history) {
-			if (at > time) {
-				break;
-			}
-
-			revision = event.revision;
-			if (event.deleted) {
-				items.delete(event.key);
-			} else {
-				items.set(event.key, event);
-			}
-		}
-
-		return {items, revision};
+	#range(prefix, after, response) {
+		const matching = [...this.#items.values()].filter(({key}) => key.startsWith(prefix) && key > after).toSorted((first, second) => first.key < second.key ? -1 : 1);
+		sendJson(response, {items: matching.slice(0, pageSize), hasMore: matching.length > pageSize, currentRev: this.#revision});
 	}
 
 	#watch(prefix, after, waitMilliseconds, response) {
-		const matching = () => this.#history.map(({event}) => event).filter(({key, revision}) => key.startsWith(prefix) && revision > after);
+		const matching = () => this.#history.filter(({key, revision}) => key.startsWith(prefix) && revision > after);
 		const events = matching();
 		if (events.length > 0) {
 			sendJson(response, {events, currentRev: this.#revision});
@@ -101,23 +94,23 @@
 		}
 
 		const watch = {
-			finish: () => {
+			cancel: () => {
 				clearTimeout(watch.timer);
 				this.#watches.delete(watch);
+			},
+			finish: () => {
+				watch.cancel();
 				sendJson(response, {events: matching(), currentRev: this.#revision});
 			},
 		};
 		watch.timer = setTimeout(watch.finish, waitMilliseconds);
 		this.#watches.add(watch);
-		response.on('close', () => {
-			clearTimeout(watch.timer);
-			this.#watches.delete(watch);
-		});
+		response.on('close', watch.cancel);
 	}
 
 	#publish(event) {
 		const at = performance.now();
-		this.#history.push({event, at});
+		this.#history.push(event);
 		for (const watch of this.#watches) {
 			watch.finish();
 		}
