review/5: An answer that its server resets looks complete

A server resets one in 20 answers, all of them without a length, in the middle; the node passes half of the body on as a whole answer.

--- a/review/support/server.js
+++ b/review/support/server.js
@@ -15,6 +15,8 @@
 	bodyOf = run => Buffer.from(`${this.id} ran ${run.method} ${run.path}`);
 	/** True if the answer to a run has no length and ends with its connection. */
 	isUnframed = () => false;
+	/** True if an answer without a length is broken off in the middle, and its connection is reset. */
+	isBrokenOff = () => false;
 	#server;
 
 	constructor(id) {
@@ -75,6 +77,13 @@
 			response.writeHead(200, {...headers, 'Content-Length': body.length});
 		}
 
+		if (this.isBrokenOff(run)) {
+			response.write(body.subarray(0, Math.floor(body.length / 2)), () => {
+				response.socket?.resetAndDestroy();
+			});
+			return;
+		}
+
 		response.end(body);
 	}
 }
