--- a/review/1/run.js
+++ b/review/1/run.js
@@ -8,14 +8,14 @@
 import {Deployment, hostName} from '../support/deployment.js';
 import {FaultyServer} from '../support/faulty-server.js';
 
-/** Doses of the site file: garble spoils 3 in 100 answers for 5 s, and a grey server sheds up to 45 in 100 for 6.5 s. */
+/** Doses of the site file: garble spoils 3 in 100 answers for 5 s, and 0.14 of the servers shed up to 45 in 100 requests for 6.5 s. */
 const spoilInterval = 34;
-const shedInterval = 8;
+const shedInterval = 40;
 const faultyMilliseconds = 5000;
 const clientsPerMachine = 8;
 
 const deployment = new Deployment({
-	machines: ['a', 'b', 'c'].map(zone => ({service: 'releases', zone})),
+	machines: ['a', 'b', 'b', 'b', 'b', 'c', 'c', 'c'].map(zone => ({service: 'releases', zone})),
 	routes: [{
 		host: hostName, prefix: '/release/', kind: 'non_idempotent', timeout: '1500ms', targetLatency: '1000ms', priority: 0, service: 'releases', attempts: 2,
 	}],
@@ -45,10 +45,9 @@
 		server.shedInterval = shedInterval;
 		server.spoilInterval = hasTrouble ? spoilInterval : Number.POSITIVE_INFINITY;
 		record.write(`the server ${server.id} sheds one in ${shedInterval} requests${hasTrouble ? ` and spoils one in ${spoilInterval} answers` : ''}`);
-		const answersBefore = server.answers;
 		await delay(faultyMilliseconds);
 		server.isFaulty = false;
-		record.write(`the server ${server.id} is sound again; it shed ${server.shedRequests} requests and spoiled ${server.spoiledAnswers} of ${server.answers - answersBefore} answers`);
+		record.write(`the server ${server.id} is sound again; it shed ${server.shedRequests} requests and spoiled ${server.spoiledAnswers} of ${server.faultyAnswers} answers`);
 		await delay(1500);
 		loadEnd.abort();
 		await Promise.all(load);
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -45,7 +45,7 @@
 		const unframed = new Set();
 		const firstFaultyRun = server.runs.length;
 		server.isUnframed = run => {
-			const isDue = server.runs.indexOf(run, firstFaultyRun) % unframedInterval === 0;
+			const isDue = (server.runs.indexOf(run, firstFaultyRun) - firstFaultyRun + 1) % unframedInterval === 0;
 			if (isDue) {
 				unframed.add(run.attempt);
 			}
--- a/review/support/faulty-server.js
+++ b/review/support/faulty-server.js
@@ -22,7 +22,8 @@
 	spoilInterval = Number.POSITIVE_INFINITY;
 	spoiledAnswers = 0;
 	shedRequests = 0;
-	answers = 0;
+	/** Answers since the server is faulty. */
+	faultyAnswers = 0;
 	#requests = 0;
 	#isSpoilDue = false;
 	#connections = new Set();
@@ -106,10 +107,10 @@
 			return;
 		}
 
-		this.answers += 1;
+		this.faultyAnswers += this.isFaulty ? 1 : 0;
 		const body = `${this.id} ran ${attempt}`;
 		const answer = `HTTP/1.1 200 OK\r\nX-Attempt-Id: ${attempt}\r\nX-Server-Signature: ${this.id}.${body.length}.${attempt}\r\nContent-Length: ${body.length}${headEnd}${body}`;
-		this.#isSpoilDue ||= this.isFaulty && this.answers % this.spoilInterval === 0;
+		this.#isSpoilDue ||= this.isFaulty && this.faultyAnswers % this.spoilInterval === 0;
 		if (!this.#isSpoilDue || connection.lastRefusal === undefined) {
 			socket.write(answer);
 			return;
