Don't read two answers of a faulty target as one

Cause: a target stops inside a head and writes an earlier refusal again. The response parser skipped the malformed line where the two meet, only the first attempt id was compared, and 'not run' was believed on any status.

Evidence: the new test cuts a head after each byte before an earlier answer.

--- a/packages/sidecar/src/lib/http-parsers.ts
+++ b/packages/sidecar/src/lib/http-parsers.ts
@@ -68,7 +68,10 @@
 	this.state = this.body_bytes === 0 ? 'BODY_CHUNKTRAILERS' : 'BODY_CHUNK';
 }
 
-/** Rejects malformed and folded lines; the library skips the former and joins the latter. */
+/**
+ * Rejects malformed and folded lines; the library skips the former and joins the latter. In a response, a skipped line can be the
+ * status line of another response that a faulty target wrote into an unfinished head.
+ */
 function readFieldLine(line: string, headers: string[]): void {
 	const match = fieldLinePattern.exec(line);
 	if (match === null) {
@@ -79,12 +82,6 @@
 	headers.push(match[1]!, match[2]!);
 }
 
-/** Parses a field line of a response as leniently as the library does. */
-function readResponseFieldLine(line: string, headers: string[]): void {
-	checkFieldCount(headers);
-	libraryReadFieldLine(line, headers);
-}
-
 function checkFieldCount(headers: readonly string[]): void {
 	if (headers.length >= maximumFieldLines * 2) {
 		throw new Error('too many header lines');
@@ -101,11 +98,11 @@
 }
 
 const responseInternals = ResponseParser.prototype as unknown as ParserInternals;
-const {consumeLine: libraryReadLine, parseHeader: libraryReadFieldLine} = HTTPParser.prototype as unknown as ParserInternals;
+const {consumeLine: libraryReadLine} = HTTPParser.prototype as unknown as ParserInternals;
 const requestInternals = RequestParser.prototype as unknown as ParserInternals;
 responseInternals.consumeLine = readLine;
 requestInternals.consumeLine = readLine;
-responseInternals.parseHeader = readResponseFieldLine;
+responseInternals.parseHeader = readFieldLine;
 responseInternals.BODY_CHUNKHEAD = readChunkHead;
 requestInternals.BODY_CHUNKHEAD = readChunkHead;
 requestInternals.parseHeader = readFieldLine;
--- a/packages/sidecar/src/lib/message-headers.ts
+++ b/packages/sidecar/src/lib/message-headers.ts
@@ -30,6 +30,18 @@
 	return undefined;
 }
 
+/** Returns the number of times that a header occurs; `name` is in lower case. */
+export function headerCount(headers: HeaderList, name: string): number {
+	let count = 0;
+	for (let index = 0; index < headers.length; index += 2) {
+		if (headers[index]!.toLowerCase() === name) {
+			count += 1;
+		}
+	}
+
+	return count;
+}
+
 /**
  * Returns the headers to forward: all except hop-by-hop headers, headers that the `Connection` header names, and headers that this
  * hop replaces.
--- a/packages/sidecar/src/lib/target-connection.test.ts
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -232,6 +232,51 @@
 	});
 });
 
+/** Guards against two answers that are read as one: a target stops inside a head and writes an earlier answer of the connection again. */
+describe('an earlier answer that is written into an unfinished head leaves the request lost', () => {
+	const signed = (attempt: string, body: string) => `HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\nX-Signature: s.${attempt}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+	const unidentified = 'HTTP/1.1 400 Bad Request\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n';
+
+	it.each<[string, string]>([
+		['a refusal', 'HTTP/1.1 503 Busy\r\nX-Attempt: a1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'],
+		['a success', signed('a1', 'for a1')],
+		['a success in chunks', 'HTTP/1.1 200 OK\r\nX-Attempt: a1\r\nX-Signature: s.a1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n'],
+	])('%s, after any byte of the head', async (_name, earlier) => {
+		const head = signed('a2', '');
+		const taken: number[] = [];
+		for (let end = 0; end < head.length; end += 1) {
+			script = async (socket, attempt) => {
+				if (attempt === 'a1') {
+					socket.write(earlier);
+					return;
+				}
+
+				socket.write(head.slice(0, end));
+				await delay(1);
+				socket.end(earlier);
+			};
+
+			await send('a1');
+			if (await typeOf('a2') !== 'lost') {
+				taken.push(end);
+			}
+		}
+
+		expect(taken).toEqual([]);
+	});
+
+	it('a refusal without an id, after any line of the head', async () => {
+		const lines = signed('a2', '').split('\r\n').slice(0, -2);
+		for (const count of lines.keys()) {
+			script = (socket, attempt) => {
+				socket.end(attempt === 'a2' ? lines.slice(0, count).map(line => `${line}\r\n`).join('') + unidentified : unidentified);
+			};
+
+			expect([count, await typeOf('a2')]).toEqual([count, 'lost']);
+		}
+	});
+});
+
 describe('a request that was not written is unsent', () => {
 	it('to a port without a listener', async () => {
 		const {port} = (server.address() as AddressInfo);
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -1,8 +1,8 @@
 /**
  * HTTP/1.1 connections to the local target. A connection carries one request at a time and is reused only if its state is certain:
  * after a complete response with a known end, no bytes beyond it, and the request fully written. A response is accepted only if it
- * echoes the attempt of the request, because a faulty target may send a response twice or late. A parser library is used because
- * `node:http` hides which bytes follow a response, and costs more processor time per request.
+ * echoes the attempt of the request once, because a faulty target may send a response twice, late or inside the head of another. A
+ * parser library is used because `node:http` hides which bytes follow a response, and costs more processor time per request.
  */
 import {type Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
@@ -13,7 +13,7 @@
 	concatChunks, contentLengthPattern, fieldLines, writeMessage,
 } from './http-messages.js';
 import {hasUnreadBytes, ResponseParser, type ParsedResponse} from './http-parsers.js';
-import {headerValue, type HeaderList} from './message-headers.js';
+import {headerCount, headerValue, type HeaderList} from './message-headers.js';
 
 /** @public */
 export const targetConnectionOptions = {
@@ -214,6 +214,10 @@
 		});
 		this.parser[kOnHeadersComplete] = info => {
 			this.info = info;
+			if (headerCount(info.headers, this.attemptHeader) > 1) {
+				throw new Error('two answers in one head');
+			}
+
 			const length = headerValue(this.info.headers, 'content-length');
 			if (length !== undefined && !contentLengthPattern.test(length)) {
 				throw new Error('malformed content-length');
--- a/packages/sidecar/src/lib/target-runner.test.ts
+++ b/packages/sidecar/src/lib/target-runner.test.ts
@@ -81,6 +81,28 @@
 	result: 'not-run', reason: 'instance-leaving', reachedTarget: false, estimatedWaitMilliseconds: 0,
 }];
 
+/** Guards against a request that ran and is reported as not run, because parts of two answers were read as one. */
+describe('a statement that the request did not run', () => {
+	const mayHaveRun = (status: number) => ({result: 'may-have-run', reason: `answer-contradictory-${status}`});
+	const notRun = (status: number) => ({result: 'not-run', reason: `target-refused-${status}`, reachedTarget: true});
+
+	it.each<[name: string, status: number, statement: string, expected: Record<string, unknown>]>([
+		['with status 400 is believed', 400, 'X-Not-Run: 1', notRun(400)],
+		['with status 429 is believed', 429, 'X-Not-Run: 1', notRun(429)],
+		['with status 503 is believed', 503, 'X-Not-Run: 1', notRun(503)],
+		['with a success is a contradiction', 200, 'X-Not-Run: 1', mayHaveRun(200)],
+		['with a signed success is a contradiction', 200, 'X-Signature: s\r\nX-Not-Run: 1', mayHaveRun(200)],
+		['with a failure of work that ran is a contradiction', 500, 'X-Signature: s\r\nX-Not-Run: 1', mayHaveRun(500)],
+		['given twice is a contradiction', 503, 'X-Not-Run: 1\r\nX-Not-Run: 1', mayHaveRun(503)],
+		['replaced by a second signature is a contradiction', 200, 'X-Signature: s\r\nX-Signature: s', mayHaveRun(200)],
+	])('%s', async (_name, status, statement, expected) => {
+		const {outcomes} = run('first');
+		await waitForArrivals(1);
+		sockets[0]!.write(`HTTP/1.1 ${status} Status\r\nX-Attempt: first\r\n${statement}\r\nContent-Length: 0\r\n\r\n`);
+		await expect.poll(() => outcomes).toMatchObject([expected]);
+	});
+});
+
 describe('a leaving target', () => {
 	it('gets no request from a sender with an older record', () => {
 		leave();
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -11,7 +11,7 @@
 import {
 	instanceLeavingReason, RunResult, unsentOutcome, type LoadReport, type RunOutcome,
 } from './link-messages.js';
-import {headerValue} from './message-headers.js';
+import {headerCount, headerValue} from './message-headers.js';
 import {TargetConnections, type TargetOutcome} from './target-connection.js';
 import {TargetQueue} from './target-queue.js';
 
@@ -35,6 +35,11 @@
 
 /** Misdirected Request: the request names an instance other than this target, which therefore did not run it. */
 const misdirectedStatus = 421;
+/**
+ * Statuses with which a target can state that it did not run a request. The statement on any other status is a contradiction: two
+ * answers may have been read as one.
+ */
+const refusalStatuses: ReadonlySet<number> = new Set([400, misdirectedStatus, 429, 503]);
 /** Weight of a new outcome in the moving average of the success share that is reported to peers. */
 const successWeight = 0.04;
 
@@ -187,7 +192,8 @@
 		}
 
 		const {status, headers, body, closeDelimited} = outcome.response;
-		if (status === misdirectedStatus || headerValue(headers, this.headers.notRun) !== undefined) {
+		const notRunCount = headerCount(headers, this.headers.notRun);
+		if (status === misdirectedStatus || (notRunCount === 1 && refusalStatuses.has(status))) {
 			this.recordOutcome(0);
 			return {
 				result: RunResult.notRun, reason: status === misdirectedStatus ? 'another-instance' : `target-refused-${status}`,
@@ -195,7 +201,7 @@
 			};
 		}
 
-		const unusable = this.responseFault(status, headers);
+		const unusable = notRunCount > 0 ? `answer-contradictory-${status}` : this.responseFault(status, headers);
 		if (unusable !== undefined) {
 			this.recordOutcome(0);
 			return {result: RunResult.mayHaveRun, reason: unusable};
@@ -213,7 +219,12 @@
 			return 'answer-encoded';
 		}
 
-		return headerValue(headers, this.headers.signature) === undefined ? `answer-unsigned-${status}` : undefined;
+		const signatureCount = headerCount(headers, this.headers.signature);
+		if (signatureCount > 1) {
+			return `answer-contradictory-${status}`;
+		}
+
+		return signatureCount === 0 ? `answer-unsigned-${status}` : undefined;
 	}
 
 	private recordOutcome(success: 0 | 1): void {
