Tell a reset of a target's connection from its end

Cause: an answer without a length was complete at the socket's 'end', which Node.js also emits for a reset that arrives together with data.

--- a/packages/sidecar/src/lib/target-connection.test.ts
+++ b/packages/sidecar/src/lib/target-connection.test.ts
@@ -167,6 +167,22 @@
 	});
 });
 
+/** Guards against a truncated response that looks complete: Node.js reports a reset that arrives together with data as an end. */
+it('a response without a length that is reset right after its last bytes is lost', async () => {
+	script = (socket, attempt) => {
+		socket.write(`HTTP/1.1 200 OK\r\nX-Attempt: ${attempt}\r\n\r\n${'x'.repeat(750)}`, () => {
+			socket.resetAndDestroy();
+		});
+	};
+
+	const types: string[] = [];
+	for (let index = 0; index < 60; index += 1) {
+		types.push(await typeOf(`a${index}`));
+	}
+
+	expect(types.filter(type => type !== 'lost')).toEqual([]);
+});
+
 describe('an extra response', () => {
 	it('in the same packet is discarded', async () => {
 		script = (socket, attempt) => {
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -7,6 +7,7 @@
 import {type Buffer} from 'node:buffer';
 import {connect, type Socket} from 'node:net';
 import {HTTPParser} from 'http-parser-js';
+import {checkConnectionEnd} from '@hemlockthread/wire';
 import type {Clock} from './clock.js';
 import type {Address} from './fleet-model.js';
 import {
@@ -191,7 +192,9 @@
 	constructor(private readonly options: TargetConnectionsOptions, private readonly events: ConnectionEvents) {
 		this.attemptHeader = options.attemptHeader;
 		const {host, port} = options.address;
-		this.socket = connect({host, port, noDelay: true});
+		this.socket = connect({
+			host, port, noDelay: true, allowHalfOpen: true,
+		});
 		this.cancelConnectTimeout = options.clock.after(targetConnectionOptions.connectTimeoutMilliseconds, () => {
 			this.fail('connecting took too long');
 		});
@@ -331,14 +334,21 @@
 	}
 
 	private receiveEnd(): void {
-		if (this.exchange !== undefined && this.info !== undefined) {
-			// A response without a length ends with its connection.
-			this.mustClose = true;
-			this.closeDelimited = true;
-			this.parser.finish();
+		if (this.exchange === undefined || this.info === undefined) {
+			this.fail('connection ended');
+			return;
 		}
 
-		this.fail('connection ended');
+		// A response without a length ends with its connection, if that was not reset.
+		checkConnectionEnd(this.socket, error => {
+			if (error === undefined && !this.closed) {
+				this.mustClose = true;
+				this.closeDelimited = true;
+				this.parser.finish();
+			}
+
+			this.fail(error === undefined ? 'connection ended' : 'connection reset');
+		});
 	}
 
 	private completeMessage(): void {
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -11,6 +11,7 @@
 export {
 	fullJitter, waitForAbort, abortableDelay, type JitterRange,
 } from './lib/full-jitter.js';
+export {checkConnectionEnd} from './lib/connection-end.js';
 export {LinkClock} from './lib/link-clock.js';
 export {
 	PeerConnection, connectionOptions, type ConnectionOptions, type PeerHandlers, type RequestPayload, type ResponsePayload, type LocalPeer,
