node: Tell a reset of a target's connection from its end

The end of the connection is checked before the HTTP client closes its own side, and only for answers without a length: one with a length is complete however its connection ends.

--- a/packages/node/src/lib/target-client.ts
+++ b/packages/node/src/lib/target-client.ts
@@ -2,9 +2,10 @@
  * HTTP client for the local target: sends calls and reads complete responses.
  */
 import {Buffer} from 'node:buffer';
-import {Agent, type IncomingMessage} from 'node:http';
+import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
+import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {frameLimits} from '@hemlockthread/wire';
+import {checkConnectionEnd, frameLimits} from '@hemlockthread/wire';
 import {
 	RefusalReason, Verdict, isVerdict, type VerdictName,
 } from '@hemlockthread/verdict';
@@ -57,14 +58,19 @@
 		};
 
 		inProgress.signal.addEventListener('abort', abort, {once: true});
-		let response: IncomingMessage | undefined;
+		const connectionEnd = new ConnectionEnd(request.req);
 		try {
-			response = await request;
+			const response = await request;
 			const body = await wreck.read(response, {maxBytes: frameLimits.maximumBodyBytes, timeout: remaining});
+			if (isCloseDelimited(response)) {
+				await connectionEnd.check();
+			}
+
 			return readResponse(response, body);
 		} catch (error) {
 			return {...toFailure(error, call), leaving: false};
 		} finally {
+			connectionEnd.dispose();
 			inProgress.signal.removeEventListener('abort', abort);
 		}
 	}
@@ -74,6 +80,55 @@
 	}
 }
 
+/**
+ * Observes how the connection of a request ends: a response without a length is complete only if its connection was not reset. Listens
+ * before the HTTP client does, which closes its side on `end`.
+ */
+class ConnectionEnd {
+	private socket: Socket | undefined;
+	private checked: Promise<void> | undefined;
+
+	constructor(request: ClientRequest) {
+		request.once('socket', socket => {
+			this.socket = socket;
+			socket.prependListener('end', this.receiveEnd);
+		});
+	}
+
+	/** Rejects if the connection has ended with a reset. */
+	async check(): Promise<void> {
+		await this.checked;
+	}
+
+	dispose(): void {
+		this.socket?.off('end', this.receiveEnd);
+	}
+
+	private readonly receiveEnd = () => {
+		const {socket} = this;
+		if (socket === undefined) {
+			return;
+		}
+
+		this.checked = new Promise((resolve, reject) => {
+			checkConnectionEnd(socket, error => {
+				if (error === undefined) {
+					resolve();
+				} else {
+					reject(error);
+				}
+			});
+		});
+		// A response with a length is complete however its connection ends, so its result is not awaited.
+		this.checked.catch(() => undefined);
+	};
+}
+
+/** Whether only the end of the connection marks the end of the body (RFC 9112, section 6.3). */
+function isCloseDelimited({headers}: IncomingMessage): boolean {
+	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
+}
+
 function readResponse(response: IncomingMessage, body: Uint8Array): TargetResponse {
 	const headers: Record<string, string> = {};
 	for (const name of forwardedResponseHeaders) {
