node: Don't take an earlier answer of a target as that of a call

Now a target may repeat the call's context in its answer. Another context, two of them, or 'did-not-run' on a success give 'may-have-run', and the connection carries no further call.

--- a/packages/node/src/lib/target-client.test.ts
+++ b/packages/node/src/lib/target-client.test.ts
@@ -17,15 +17,15 @@
 
 let server: Server;
 let client: TargetClient;
-let answer: (socket: Socket) => void;
+let answer: (socket: Socket, context: string) => void;
 const sockets = new Set<Socket>();
 
 beforeEach(async () => {
 	server = createServer(socket => {
 		sockets.add(socket);
 		socket.on('error', () => undefined);
-		socket.on('data', () => {
-			answer(socket);
+		socket.on('data', (bytes: Buffer) => {
+			answer(socket, /hemlockthread-context: (?<context>\w+)/iv.exec(String(bytes))!.groups!.context!);
 		});
 	}).listen(0, '127.0.0.1');
 	await once(server, 'listening');
@@ -83,3 +83,57 @@
 	const {verdict, body} = await send();
 	expect([verdict, Buffer.from(body).toString()]).toEqual(['ran', 'whole']);
 });
+
+/** Guards against a call that ran and is reported as not run, or gets the answer of another call, because of an earlier answer. */
+describe('an earlier answer', () => {
+	const refused = (context: string) => `HTTP/1.1 503 Busy\r\nhemlockthread-context: ${context}\r\nhemlockthread-verdict: did-not-run\r\nContent-Length: 0\r\n\r\n`;
+	const ran = (context: string, body: string) => `HTTP/1.1 200 OK\r\nhemlockthread-context: ${context}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+
+	it.each<[name: string, write: (socket: Socket, own: string, earlier: string) => void, expected: Partial<CallResult>]>([
+		['written once more before the own answer is not taken', (socket, own, earlier) => {
+			socket.write(refused(earlier) + ran(own, 'own'));
+		}, {verdict: 'may-have-run'}],
+		['written once more in place of the own answer is not taken', (socket, _own, earlier) => {
+			socket.write(refused(earlier));
+		}, {verdict: 'may-have-run'}],
+		['written into an unfinished header value is not taken', (socket, own, earlier) => {
+			socket.write(`HTTP/1.1 200 OK\r\nhemlockthread-context: ${own}\r\nX-Part: a${refused(earlier)}`);
+		}, {verdict: 'may-have-run'}],
+		['without a context, written into an unfinished header value, is not taken', (socket, own) => {
+			socket.write(`HTTP/1.1 200 OK\r\nhemlockthread-context: ${own}\r\nX-Part: a${refused('').replace('hemlockthread-context: \r\n', '')}`);
+		}, {verdict: 'may-have-run'}],
+		['that is not written again leaves the own answer valid', (socket, own) => {
+			socket.write(ran(own, 'own'));
+		}, {verdict: 'ran', status: 200}],
+	])('%s', async (_name, write, expected) => {
+		let earlier: string | undefined;
+		answer = (socket, context) => {
+			if (earlier === undefined) {
+				earlier = context;
+				socket.write(refused(context));
+			} else {
+				write(socket, context, earlier);
+			}
+		};
+
+		expect(await send()).toMatchObject({declaredVerdict: 'did-not-run', status: 503});
+		expect(await send()).toMatchObject(expected);
+	});
+
+	it('is not left on the connection for the call after the next', async () => {
+		let earlier: string | undefined;
+		answer = (socket, context) => {
+			socket.write(earlier === undefined ? ran(context, 'own') : ran(earlier, 'old') + ran(context, 'own'));
+			earlier ??= context;
+		};
+
+		await send();
+		expect(await send()).toMatchObject({verdict: 'may-have-run'});
+		answer = (socket, context) => {
+			socket.write(ran(context, 'third'));
+		};
+
+		const {verdict, body} = await send();
+		expect([verdict, Buffer.from(body).toString()]).toEqual(['ran', 'third']);
+	});
+});
--- a/packages/node/src/lib/target-client.ts
+++ b/packages/node/src/lib/target-client.ts
@@ -17,6 +17,9 @@
 
 const forwardedResponseHeaders = ['content-type', 'content-encoding', 'etag', 'location', 'cache-control'] as const;
 
+/** Lowest status with which a target can state that a call did not run. */
+const firstRefusalStatus = 400;
+
 /** @public */
 export type TargetResponse = CallResult & {
 	/** Verdict that the target declared in a response header. */
@@ -58,19 +61,24 @@
 		};
 
 		inProgress.signal.addEventListener('abort', abort, {once: true});
-		const connectionEnd = new ConnectionEnd(request.req);
+		const connection = new ObservedConnection(request.req);
 		try {
 			const response = await request;
 			const body = await wreck.read(response, {maxBytes: frameLimits.maximumBodyBytes, timeout: remaining});
 			if (isCloseDelimited(response)) {
-				await connectionEnd.check();
+				await connection.check();
+			}
+
+			if (isOfAnotherCall(response, inProgress.reference)) {
+				connection.destroy();
+				return {...refusal(Verdict.mayHaveRun, RefusalReason.targetFailed), leaving: false};
 			}
 
 			return readResponse(response, body);
 		} catch (error) {
 			return {...toFailure(error, call), leaving: false};
 		} finally {
-			connectionEnd.dispose();
+			connection.dispose();
 			inProgress.signal.removeEventListener('abort', abort);
 		}
 	}
@@ -81,10 +89,10 @@
 }
 
 /**
- * Observes how the connection of a request ends: a response without a length is complete only if its connection was not reset. Listens
+ * Observes the connection of a request and how it ends: a response without a length is complete only if its connection was not reset. Listens
  * before the HTTP client does, which closes its side on `end`.
  */
-class ConnectionEnd {
+class ObservedConnection {
 	private socket: Socket | undefined;
 	private checked: Promise<void> | undefined;
 
@@ -100,6 +108,11 @@
 		await this.checked;
 	}
 
+	/** Closes the connection, so that it carries no further call. */
+	destroy(): void {
+		this.socket?.destroy();
+	}
+
 	dispose(): void {
 		this.socket?.off('end', this.receiveEnd);
 	}
@@ -124,6 +137,16 @@
 	};
 }
 
+/**
+ * Whether a faulty target wrote the answer of an earlier call, alone or into the head of this call's answer: the context is another one
+ * or occurs twice, or a success states that the call did not run.
+ */
+function isOfAnotherCall({headers, statusCode}: IncomingMessage, reference: string): boolean {
+	const context = headers[Header.context];
+	const contradicts = headers[Header.verdict] === Verdict.didNotRun && (statusCode ?? 0) < firstRefusalStatus;
+	return contradicts || (context !== undefined && context !== reference);
+}
+
 /** Whether only the end of the connection marks the end of the body (RFC 9112, section 6.3). */
 function isCloseDelimited({headers}: IncomingMessage): boolean {
 	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
