Don't vouch for removals that a node never saw

Cause: a node that began with a listing has no tombstones from before it, yet answered 'all changes since R' for any R. The receivers took their records as complete and kept the removed instance for good.

Now a node knows from which revision it has all removals; older askers get a full set.

--- a/packages/sidecar/src/lib/fleet-records.ts
+++ b/packages/sidecar/src/lib/fleet-records.ts
@@ -63,6 +63,11 @@
 	private readonly tombstones = new Map<string, number>();
 	private readonly lapsed = new Map<string, {instance: TargetInstance; revision: number}>();
 	private completeRevisions: CompleteTo = {};
+	/**
+	 * By key prefix, the revision from which all removals are known. Higher than 0 because a listing doesn't tell which keys were removed
+	 * before it, and because old tombstones are dropped.
+	 */
+	private removalsKnownFrom: CompleteTo = {};
 	private policyRecord: StoredRecord | undefined;
 	private currentPolicy: RoutingPolicy | undefined;
 	private policyReceivedAt = 0;
@@ -117,6 +122,11 @@
 			return false;
 		}
 
+		// With all changes up to a revision applied, a key without a record was removed before it, even if its tombstone is not known.
+		if (!this.entries.has(record.key) && this.policyRecord?.key !== record.key && this.isCompleteFor(record)) {
+			return false;
+		}
+
 		if (record.value === undefined) {
 			this.remove(record.key, record.revision, source);
 			return true;
@@ -132,28 +142,27 @@
 			this.apply(record, 'service');
 		}
 
-		this.removeUnlisted(prefix, new Set(records.map(({key}) => key)), revision, 'service');
-		this.markComplete(prefix, revision);
+		this.applyUnlisted(prefix, new Set(records.map(({key}) => key)), revision, 'service');
 	}
 
 	/** Applies changes that a peer has received. Of all records of a peer, entries that are missing although it would know them were deleted. */
 	applyChanges({records, completeTo, after}: RecordChanges): void {
 		const listed = new Set<string>();
 		for (const record of records) {
-			listed.add(record.key);
 			this.apply(record, 'peer');
+			if (record.value !== undefined) {
+				listed.add(record.key);
+			}
 		}
 
 		for (const [prefix, revision] of Object.entries(completeTo)) {
 			const changesAfter = after[prefix];
 			if (changesAfter === undefined) {
-				this.removeUnlisted(prefix, listed, revision, 'peer');
-			} else if (changesAfter > (this.completeRevisions[prefix] ?? 0)) {
-				// Changes between the two revisions are missing.
-				continue;
+				this.applyUnlisted(prefix, listed, revision, 'peer');
+			} else if (changesAfter <= (this.completeRevisions[prefix] ?? 0)) {
+				// Otherwise changes between the two revisions are missing.
+				this.markComplete(prefix, revision);
 			}
-
-			this.markComplete(prefix, revision);
 		}
 	}
 
@@ -180,8 +189,12 @@
 		}
 	}
 
-	/** Returns the records and tombstones that changed after the given revisions, for a peer that is behind; all if none is given. */
-	changesSince(after: CompleteTo): RecordChanges {
+	/**
+	 * Returns the records and tombstones that changed after the given revisions, for a peer that is behind. Returns all of a prefix if none
+	 * is given, or if this node doesn't know all removals after it: the peer then removes what is missing.
+	 */
+	changesSince(requestedAfter: CompleteTo): RecordChanges {
+		const after = Object.fromEntries(Object.entries(requestedAfter).filter(([prefix, revision]) => revision >= (this.removalsKnownFrom[prefix] ?? 0)));
 		const all: StoredRecord[] = [...this.entries.values()].map(({record}) => record);
 		if (this.policyRecord !== undefined) {
 			all.push(this.policyRecord);
@@ -203,6 +216,10 @@
 		};
 	}
 
+	private isCompleteFor({key, revision}: StoredRecord): boolean {
+		return Object.entries(this.completeRevisions).some(([prefix, completeTo]) => revision <= completeTo && key.startsWith(prefix));
+	}
+
 	/** The highest known revision of a key; 0 if the key is unknown. */
 	private revisionOf(key: string): number {
 		const policyRevision = this.policyRecord?.key === key ? this.policyRecord.revision : 0;
@@ -326,6 +343,15 @@
 		});
 	}
 
+	/** Applies that a complete set of the records with a prefix, as of a revision, lacks all other keys. */
+	private applyUnlisted(prefix: string, listed: ReadonlySet<string>, revision: number, source: RecordSourceName): void {
+		this.removeUnlisted(prefix, listed, revision, source);
+		if (revision > (this.completeRevisions[prefix] ?? 0)) {
+			this.removalsKnownFrom = {...this.removalsKnownFrom, [prefix]: revision};
+			this.markComplete(prefix, revision);
+		}
+	}
+
 	private removeUnlisted(prefix: string, listed: ReadonlySet<string>, revision: number, source: RecordSourceName): void {
 		for (const [key, {record}] of this.entries) {
 			if (key.startsWith(prefix) && !listed.has(key) && record.revision <= revision) {
@@ -357,8 +383,17 @@
 		this.tombstones.delete(key);
 		this.tombstones.set(key, revision);
 		if (this.tombstones.size > maximumTombstones) {
-			const [oldest] = this.tombstones.keys();
-			this.tombstones.delete(oldest!);
+			const [oldest, dropped] = this.tombstones.entries().next().value!;
+			this.tombstones.delete(oldest);
+			this.forgetRemoval(oldest, dropped);
+		}
+	}
+
+	private forgetRemoval(key: string, revision: number): void {
+		for (const prefix of Object.keys(this.completeRevisions)) {
+			if (key.startsWith(prefix) && revision > (this.removalsKnownFrom[prefix] ?? 0)) {
+				this.removalsKnownFrom = {...this.removalsKnownFrom, [prefix]: revision};
+			}
 		}
 	}
 
