Read header lines in time proportional to their bytes

Cause: three neighbouring repetitions of the field line expression match blanks, so a line that doesn't match takes cubic time. The limit of the headers was checked only at the end of the head.

A linter rule now reports such expressions; it finds the old one, and one more in the operator's command line.

--- a/packages/operator/src/lib/trace-command.ts
+++ b/packages/operator/src/lib/trace-command.ts
@@ -111,7 +111,7 @@
 
 function meaningOf(reason: string): string | undefined {
 	const start = reason.split(':', 1)[0]!;
-	return reasonMeanings[start] ?? reasonMeanings[start.replace(/\d+$/v, '')];
+	return reasonMeanings[start] ?? reasonMeanings[start.replace(/(?<!\d)\d+$/v, '')];
 }
 
 function formatLine(line: LogLine): string {
--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -11,9 +11,9 @@
 	concatChunks, contentLengthPattern, fieldLines, writeMessage,
 } from './http-messages.js';
 import {
-	isInsideHead, RequestParser, unreadOffset, type ParsedRequest,
+	isInsideHead, RequestParser, UnacceptableMessage, unreadOffset, type ParsedRequest,
 } from './http-parsers.js';
-import {forwardedHeaders, headerValue, type HeaderList} from './message-headers.js';
+import {forwardedHeaders, headerValue} from './message-headers.js';
 import type {EntryRequest, EntryResponse} from './request-flow.js';
 
 const {kOnHeadersComplete, kOnBody, kOnMessageComplete} = HTTPParser;
@@ -42,20 +42,13 @@
 	method: string; path: string; headers: string[]; keepAlive: boolean; chunks: Buffer[]; bodyBytes: number; hasBody: boolean; receivedAt: number;
 };
 
-/** A request that is rejected with a status. */
-class UnacceptableRequest extends Error {
-	constructor(readonly status: number, message: string) {
-		super(message);
-	}
-}
-
 /**
  * Reads requests from a connection and writes their responses.
  *
  * @internal
  */
 export class EntryConnection {
-	private readonly parser = new RequestParser(HTTPParser.REQUEST);
+	private readonly parser: RequestParser;
 	private reading: ReceivedRequest | undefined;
 	private readonly queued: ReceivedRequest[] = [];
 	private current: ReceivedRequest | undefined;
@@ -67,6 +60,7 @@
 	private closed = false;
 
 	constructor(private readonly socket: Socket, private readonly options: EntryConnectionOptions, private readonly onClosed: () => void) {
+		this.parser = new RequestParser(HTTPParser.REQUEST, () => options.maximumHeaderBytes());
 		this.timeoutStartedAt = options.clock.now();
 		socket.on('data', (bytes: Buffer) => {
 			this.receive(bytes);
@@ -148,7 +142,7 @@
 		try {
 			this.parse(bytes);
 		} catch (error) {
-			this.reject(error instanceof UnacceptableRequest ? error.status : 400, (error as Error).message);
+			this.reject(error instanceof UnacceptableMessage ? error.status : 400, (error as Error).message);
 			return;
 		}
 
@@ -174,15 +168,11 @@
 		const {headers} = info;
 		const method = HTTPParser.methods[info.method];
 		if (method === undefined || method === 'CONNECT') {
-			throw new UnacceptableRequest(405, 'method is not served');
+			throw new UnacceptableMessage(405, 'method is not served');
 		}
 
 		if (info.versionMajor !== 1) {
-			throw new UnacceptableRequest(505, 'version is not served');
-		}
-
-		if (headerSizeOf(headers) > this.options.maximumHeaderBytes()) {
-			throw new UnacceptableRequest(431, 'head too large');
+			throw new UnacceptableMessage(505, 'version is not served');
 		}
 
 		const hasBody = checkFraming(info);
@@ -328,14 +318,14 @@
 	}],
 	['content-length', (framing, value) => {
 		if (framing.length !== undefined || !contentLengthPattern.test(value)) {
-			throw new UnacceptableRequest(400, 'malformed content-length');
+			throw new UnacceptableMessage(400, 'malformed content-length');
 		}
 
 		framing.length = value;
 	}],
 	['transfer-encoding', (framing, value, versionMinor) => {
 		if (framing.isChunked || value.toLowerCase() !== 'chunked' || versionMinor === 0) {
-			throw new UnacceptableRequest(400, 'transfer-encoding is not served');
+			throw new UnacceptableMessage(400, 'transfer-encoding is not served');
 		}
 
 		framing.isChunked = true;
@@ -345,7 +335,7 @@
 /**
  * Returns whether a body follows.
  *
- * @throws UnacceptableRequest if two parsers could disagree about the end of the request.
+ * @throws UnacceptableMessage if two parsers could disagree about the end of the request.
  */
 function checkFraming({headers, versionMinor, upgrade}: ParsedRequest): boolean {
 	const framing: Framing = {length: undefined, isChunked: false, hosts: 0};
@@ -355,22 +345,12 @@
 
 	const {length, isChunked, hosts} = framing;
 	if (isChunked && (length !== undefined || upgrade)) {
-		throw new UnacceptableRequest(400, 'two lengths');
+		throw new UnacceptableMessage(400, 'two lengths');
 	}
 
 	if (hosts > 1 || (hosts === 0 && versionMinor > 0)) {
-		throw new UnacceptableRequest(400, 'one host header is needed');
+		throw new UnacceptableMessage(400, 'one host header is needed');
 	}
 
 	return isChunked || length !== undefined;
 }
-
-function headerSizeOf(headers: HeaderList): number {
-	let size = 0;
-	for (const text of headers) {
-		// Two bytes for the separator after a name and for the line terminator after a value.
-		size += text.length + 2;
-	}
-
-	return size;
-}
--- a/packages/sidecar/src/lib/http-parsers.ts
+++ b/packages/sidecar/src/lib/http-parsers.ts
@@ -7,8 +7,10 @@
 HTTPParser.encoding = 'latin1';
 
 const chunkSizePattern = /^[\da-f]{1,8}[ \t]*(?:;.*)?$/iv;
-/** A field line by RFC 9112, section 5: a token directly followed by a colon, and a value without control characters; no line folding. */
-const fieldLinePattern = /^(?<name>[\w!#$%\u0026'*+\-.`\|~^]+):[ \t]*(?<value>[\t\u0020-\u007E\u0080-\u00FF]*?)[ \t]*$/v;
+/** A field name by RFC 9110, section 5.1. */
+const fieldNamePattern = /^[\w!#$%\u0026'*+\-.`\|~^]+$/v;
+/** A field value without control characters (RFC 9110, section 5.5). */
+const fieldValuePattern = /^[\t\u0020-\u007E\u0080-\u00FF]*$/v;
 
 /** Maximum line length, equal to the library's limit for a head; the library does not limit chunk and trailer lines. */
 const maximumLineLength = 80 * 1024;
@@ -30,6 +32,9 @@
 	upgrade: boolean;
 };
 
+const lineTerminatorBytes = 2;
+const blankCodes = {tab: 9, space: 32} as const;
+
 /** Parser state and methods that the library does not declare as public. */
 type ParserState = {
 	offset: number;
@@ -44,14 +49,31 @@
 type ParserInternals = {
 	consumeLine: (this: ParserState) => string | undefined;
 	BODY_CHUNKHEAD: (this: ParserState) => void;
-	parseHeader: (line: string, headers: string[]) => void;
+	parseHeader: (this: LimitedParser, line: string, headers: string[]) => void;
 };
 
+/** A message that is rejected with a status. @internal */
+export class UnacceptableMessage extends Error {
+	constructor(readonly status: number, message: string) {
+		super(message);
+	}
+}
+
+/** A parser that limits the size of all field lines of a message, which is checked before each one is read. */
+class LimitedParser extends HTTPParser {
+	/** Bytes of the field lines of the current head or trailers. */
+	fieldBytes = 0;
+
+	constructor(type: typeof HTTPParser.REQUEST | typeof HTTPParser.RESPONSE, readonly maximumFieldBytes: () => number = () => HTTPParser.maxHeaderSize) {
+		super(type);
+	}
+}
+
 /** Parses responses of a target. @internal */
-export class ResponseParser extends HTTPParser {}
+export class ResponseParser extends LimitedParser {}
 
 /** Parses requests of callers. @internal */
-export class RequestParser extends HTTPParser {}
+export class RequestParser extends LimitedParser {}
 
 /** Rejects a malformed chunk size, which the library treats as the end of the body. */
 function readChunkHead(this: ParserState): void {
@@ -72,14 +94,39 @@
  * Rejects malformed and folded lines; the library skips the former and joins the latter. In a response, a skipped line can be the
  * status line of another response that a faulty target wrote into an unfinished head.
  */
-function readFieldLine(line: string, headers: string[]): void {
-	const match = fieldLinePattern.exec(line);
-	if (match === null) {
-		throw new Error('malformed header line');
+function readFieldLine(this: LimitedParser, line: string, headers: string[]): void {
+	this.fieldBytes = (headers.length === 0 ? 0 : this.fieldBytes) + line.length + lineTerminatorBytes;
+	if (this.fieldBytes > this.maximumFieldBytes()) {
+		throw new UnacceptableMessage(431, 'head too large');
 	}
 
 	checkFieldCount(headers);
-	headers.push(match[1]!, match[2]!);
+	const colon = line.indexOf(':');
+	const name = line.slice(0, Math.max(0, colon));
+	if (!fieldNamePattern.test(name) || !fieldValuePattern.test(line)) {
+		throw new Error('malformed header line');
+	}
+
+	headers.push(name, withoutBlanksAround(line, colon + 1));
+}
+
+/** Returns the rest of a line from an offset, without the blanks at both ends; an expression for this can backtrack. */
+function withoutBlanksAround(line: string, offset: number): string {
+	let start = offset;
+	let end = line.length;
+	while (start < end && isBlank(line.codePointAt(start)!)) {
+		start += 1;
+	}
+
+	while (end > start && isBlank(line.codePointAt(end - 1)!)) {
+		end -= 1;
+	}
+
+	return line.slice(start, end);
+}
+
+function isBlank(code: number): boolean {
+	return code === blankCodes.space || code === blankCodes.tab;
 }
 
 function checkFieldCount(headers: readonly string[]): void {
--- a/packages/sidecar/src/lib/removal-spread-model.test.ts
+++ b/packages/sidecar/src/lib/removal-spread-model.test.ts
@@ -135,7 +135,9 @@
 		['after fetching from a node that joined after the removal', [['register', 0], ['list', 0], ['remove', 0], ['list', 1], ['fetch', 0, 1]]],
 		['after fetching from a node that restarted after the removal', [['register', 0], ['list', 0], ['list', 1], ['remove', 0], ['restart', 1], ['fetch', 0, 1]]],
 		['after fetching from a node that fetched from the one that joined', [['register', 0], ['list', 0], ['remove', 0], ['list', 1], ['fetch', 2, 1], ['fetch', 0, 2]]],
-		['after a fetch between nodes that all started from outdated listings', [['register', 0], ['restart', 0], ['remove', 0], ['restart', 1], ['register', 1], ['restart', 2], ['fetch', 0, 2], ['fetch', 1, 0]]],
+		['after a fetch between nodes that all started from outdated listings', [
+			['register', 0], ['restart', 0], ['remove', 0], ['restart', 1], ['register', 1], ['restart', 2], ['fetch', 0, 2], ['fetch', 1, 0],
+		]],
 	])('%s', (_name, steps) => {
 		const world = new Simulation();
 		for (const [action, node, other = 0] of steps) {
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,8 +1,14 @@
+import regexpPlugin from 'eslint-plugin-regexp';
+
 /** @type {import('xo').FlatXoConfig} */
 const xoConfig = [
 	{ignores: ['**/dist/**', 'docs/**', 'schemas/**']},
 	{
+		plugins: {regexp: regexpPlugin},
 		rules: {
+			// The time of an expression must be proportional to its input, much of which comes from outside.
+			'regexp/no-super-linear-backtracking': ['error', {report: 'potential'}],
+			'regexp/no-super-linear-move': 'error',
 			// Header names and token claims are not in camel case.
 			'@typescript-eslint/naming-convention': 'off',
 			// Comments are prose, in which a line can start with a lowercase word.
