Serve pipelined requests in a loop

From the review: after about 2,500 pipelined requests in one write the process ended by itself.

Cause: each answer served the next request that was read ahead from inside its own call, so the stack grew with their number.

The new test sends 20,000 requests in one write and holds the first; it failed with 'Maximum call stack size exceeded' before the change. What is read ahead stays bounded by one read of the socket, which is paused while requests wait.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -51,6 +51,7 @@
 	private readonly parser: RequestParser;
 	private reading: ReceivedRequest | undefined;
 	private readonly queued: ReceivedRequest[] = [];
+	private isServingQueued = false;
 	private current: ReceivedRequest | undefined;
 	private cancelCurrent: (() => void) | undefined;
 	/** Start of the time that the next timeout measures. */
@@ -249,10 +250,22 @@
 		}
 
 		this.timeoutStartedAt = this.options.clock.now();
-		const next = this.queued.shift();
-		if (next !== undefined) {
-			this.serve(next);
-		} else if (this.socket.isPaused()) {
+		this.serveQueued();
+	}
+
+	/** Serves the requests that were read ahead, in a loop: each may be answered at once. */
+	private serveQueued(): void {
+		if (this.isServingQueued) {
+			return;
+		}
+
+		this.isServingQueued = true;
+		while (this.current === undefined && this.queued.length > 0) {
+			this.serve(this.queued.shift()!);
+		}
+
+		this.isServingQueued = false;
+		if (this.current === undefined && this.socket.isPaused()) {
 			this.socket.resume();
 		}
 	}
--- a/packages/sidecar/src/lib/entry-listener.test.ts
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -145,6 +145,24 @@
 	});
 });
 
+/** Guards against a stack overflow, which ended the process: each answer served the next request in a recursion. */
+it.each([['from the start', false], ['after the first was held', true]])('20,000 requests in one write are answered in order, %s', async (_name, isHeld) => {
+	const count = 20_000;
+	respondImmediately = !isHeld;
+	const caller = await call();
+	await caller.send(Array.from({length: count}, (_, index) => `GET /${index} HTTP/1.1\r\nHost:a\r\n\r\n`).join(''));
+	if (isHeld) {
+		respondImmediately = true;
+		const [first] = received;
+		first!.respond(echo(first!.request));
+	}
+
+	await expect.poll(() => received.length, {timeout: 20_000}).toBe(count);
+	const paths = () => [...caller.text().matchAll(/X-Path: \/(?<index>\d+)/gv)].map(match => Number(match.groups!.index));
+	await expect.poll(() => caller.text().split('X-Path').length - 1, {timeout: 20_000}).toBe(count);
+	expect(paths()).toEqual(Array.from({length: count}, (_, index) => index));
+});
+
 describe('several requests on one connection', () => {
 	it('get their responses in order, one at a time', async () => {
 		respondImmediately = false;
