--- a/packages/node/src/bin/hemlockthread-node.test.ts
+++ b/packages/node/src/bin/hemlockthread-node.test.ts
@@ -108,6 +108,7 @@
 		['an unhandled rejection', 'process.on("SIGUSR2", () => {Promise.reject(new Error("not handled"))})', 'SIGUSR2', 70, '"event":"unhandled-rejection"'],
 		['an uncaught exception', 'process.on("SIGUSR2", () => {throw new Error("not handled")})', 'SIGUSR2', 70, '"event":"uncaught-exception"'],
 		['SIGTERM', undefined, 'SIGTERM', 0, '"event":"node stopped"'],
+		['a second SIGTERM during the stop', 'process.once("SIGTERM", () => {setTimeout(() => {process.kill(process.pid, "SIGTERM")}, 1)})', 'SIGTERM', 0, '"event":"node stopped"'],
 	])('ends and logs on %s', async (_name, preload, signal, status, line) => {
 		const result = await run([settingsFile()], {preload, signalWhenStarted: signal as NodeJS.Signals});
 		expect(result.errors).toContain(line);
--- a/packages/node/src/bin/hemlockthread-node.ts
+++ b/packages/node/src/bin/hemlockthread-node.ts
@@ -38,9 +38,10 @@
 			stopSignal.abort();
 		};
 
-		// Registered before the start, so that a signal during the start also stops the node gracefully.
-		process.once('SIGTERM', requestStop);
-		process.once('SIGINT', requestStop);
+		// Registered before the start, so that a signal during the start also stops the node gracefully, and not only once, so that a
+		// second signal doesn't end the process during the stop.
+		process.on('SIGTERM', requestStop);
+		process.on('SIGINT', requestStop);
 		const node = await startNode(settings);
 		if (!stopSignal.signal.aborted) {
 			await once(stopSignal.signal, 'abort');
