State the length of every answer to a caller

From the review: a caller whose node is killed gets a part of an answer that looks complete, if the target sent the answer without a length.

Cause: such answers were passed on without a length, because targets that break them off seemed to end their connections in order.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -242,7 +242,7 @@
 
 		this.current = undefined;
 		this.cancelCurrent = undefined;
-		const closes = !request.keepAlive || response.closeDelimited === true || this.options.isLeaving();
+		const closes = !request.keepAlive || this.options.isLeaving();
 		this.write(request.method, response, closes);
 		if (closes) {
 			this.end();
@@ -270,14 +270,14 @@
 		}
 	}
 
-	private write(method: string, {status, headers, body, closeDelimited}: EntryResponse, closes: boolean): void {
+	private write(method: string, {status, headers, body}: EntryResponse, closes: boolean): void {
 		let head = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n${fieldLines(forwardedHeaders(headers, replacedHeaders))}`;
 		if (closes) {
 			head += 'Connection: close\r\n';
 		}
 
 		const hasBody = method !== 'HEAD' && !statusesWithoutBody.has(status);
-		if (hasBody && closeDelimited !== true) {
+		if (hasBody) {
 			head += `Content-Length: ${body?.length ?? 0}\r\n`;
 		} else if (method === 'HEAD' && !statusesWithoutBody.has(status)) {
 			head += `Content-Length: ${headerValue(headers, 'content-length') ?? '0'}\r\n`;
--- a/packages/sidecar/src/lib/link-messages.ts
+++ b/packages/sidecar/src/lib/link-messages.ts
@@ -74,7 +74,7 @@
 
 /** @public */
 export type RunOutcome
-	= | {result: typeof RunResult.answered; status: number; headers: readonly string[]; body: Uint8Array; closeDelimited: boolean}
+	= | {result: typeof RunResult.answered; status: number; headers: readonly string[]; body: Uint8Array}
 		| {result: typeof RunResult.notRun; reason: string; reachedTarget: boolean; estimatedWaitMilliseconds: number}
 		| {result: typeof RunResult.mayHaveRun; reason: string};
 
@@ -137,7 +137,7 @@
 type WireLoad = readonly [active: number, waiting: number, limit: number, meanMilliseconds: number, successShare: number];
 
 type WireOutcomes = {
-	[RunResult.answered]: readonly [result: typeof RunResult.answered, status: number, headers: string, body: Uint8Array, unframed: boolean];
+	[RunResult.answered]: readonly [result: typeof RunResult.answered, status: number, headers: string, body: Uint8Array];
 	[RunResult.notRun]: readonly [result: typeof RunResult.notRun, reason: string, reachedTarget: boolean, roomInMilliseconds: number];
 	[RunResult.mayHaveRun]: readonly [result: typeof RunResult.mayHaveRun, reason: string];
 };
@@ -178,14 +178,14 @@
 type OutcomeDecoders = {[Outcome in RunOutcome as Outcome['result']]: (fields: WireOutcomes[Outcome['result']]) => Outcome};
 
 const outcomeEncoders: OutcomeEncoders = {
-	[RunResult.answered]: ({result, status, headers, body, closeDelimited}) => [result, status, headersToText(headers), body, closeDelimited],
+	[RunResult.answered]: ({result, status, headers, body}) => [result, status, headersToText(headers), body],
 	[RunResult.notRun]: ({result, reason, reachedTarget, estimatedWaitMilliseconds}) => [result, reason, reachedTarget, estimatedWaitMilliseconds],
 	[RunResult.mayHaveRun]: ({result, reason}) => [result, reason],
 };
 
 const outcomeDecoders: OutcomeDecoders = {
-	[RunResult.answered]: ([, status, headers, body, closeDelimited]) => ({
-		result: RunResult.answered, status, headers: headersFromText(headers), body, closeDelimited,
+	[RunResult.answered]: ([, status, headers, body]) => ({
+		result: RunResult.answered, status, headers: headersFromText(headers), body,
 	}),
 	[RunResult.notRun]: ([, reason, reachedTarget, estimatedWaitMilliseconds]) => ({
 		result: RunResult.notRun, reason, reachedTarget, estimatedWaitMilliseconds,
--- a/packages/sidecar/src/lib/request-flow.ts
+++ b/packages/sidecar/src/lib/request-flow.ts
@@ -78,8 +78,6 @@
 	status: number;
 	headers: HeaderList;
 	body: Uint8Array | undefined;
-	/** True if the target sent the body without a length. It is forwarded the same way, so that a truncated body never looks complete. */
-	closeDelimited?: boolean;
 };
 
 /** Monotonic times of the shutdown of a node, in milliseconds. @public */
@@ -459,10 +457,8 @@
 
 	private handleResponse(outcome: Extract<RunOutcome, {result: 'answered'}>): void {
 		this.targetsReached += 1;
-		const {status, headers, body, closeDelimited} = outcome;
-		const response: EntryResponse = {
-			status, headers, body, closeDelimited,
-		};
+		const {status, headers, body} = outcome;
+		const response: EntryResponse = {status, headers, body};
 		if (outcome.status >= 500) {
 			this.mayHaveRun = true;
 			this.lastReason = `target-answered-${outcome.status}`;
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -47,8 +47,6 @@
 	status: number;
 	headers: HeaderList;
 	body: Buffer;
-	/** True if only the end of the connection marked the end of the body, so that a truncated body cannot be told from a complete one. */
-	closeDelimited: boolean;
 };
 
 /**
@@ -181,7 +179,6 @@
 	private written = false;
 	/** True once the connection must not carry another request. */
 	private mustClose = false;
-	private closeDelimited = false;
 	private info: ParsedResponse | undefined;
 	private chunks: Buffer[] = [];
 	/** Bytes received since the request was sent, and the overhead of buffering them. */
@@ -343,7 +340,6 @@
 		checkConnectionEnd(this.socket, error => {
 			if (error === undefined && !this.closed) {
 				this.mustClose = true;
-				this.closeDelimited = true;
 				this.parser.finish();
 			}
 
@@ -376,7 +372,7 @@
 		this.keepOrClose(info);
 		exchange.settle({
 			type: 'answered', response: {
-				status: info.statusCode, headers: info.headers, body, closeDelimited: this.closeDelimited,
+				status: info.statusCode, headers: info.headers, body,
 			},
 		});
 	}
--- a/packages/sidecar/src/lib/target-runner.ts
+++ b/packages/sidecar/src/lib/target-runner.ts
@@ -191,7 +191,7 @@
 			return {result: RunResult.mayHaveRun, reason: `target-lost: ${outcome.cause}`};
 		}
 
-		const {status, headers, body, closeDelimited} = outcome.response;
+		const {status, headers, body} = outcome.response;
 		const notRunCount = headerCount(headers, this.headers.notRun);
 		if (status === misdirectedStatus || (notRunCount === 1 && refusalStatuses.has(status))) {
 			this.recordOutcome(0);
@@ -209,7 +209,7 @@
 
 		this.recordOutcome(status < 500 ? 1 : 0);
 		return {
-			result: RunResult.answered, status, headers, body, closeDelimited,
+			result: RunResult.answered, status, headers, body,
 		};
 	}
 
