Bound the memory of request bodies

Cause: each chunk was an object of its own until the body was complete, and nothing limited all bodies together.

Small pieces are joined, a body of known length is held once, and large bodies need a reservation: without it their connection is not read, and after a second the request is refused as not run.

Bodies over the limit get 413 at once; rejections are logged.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -6,14 +6,17 @@
 import {STATUS_CODES} from 'node:http';
 import type {Socket} from 'node:net';
 import {HTTPParser} from 'http-parser-js';
+import {bodyBudgetOptions, type BodyBudget, type ReleaseBody} from './body-budget.js';
+import {BodyBuffer} from './body-buffer.js';
 import type {Clock} from './clock.js';
 import {
-	concatChunks, contentLengthPattern, fieldLines, writeMessage,
+	contentLengthPattern, fieldLines, writeMessage,
 } from './http-messages.js';
 import {
 	isInsideHead, RequestParser, UnacceptableMessage, unreadOffset, type ParsedRequest,
 } from './http-parsers.js';
-import {forwardedHeaders, headerValue} from './message-headers.js';
+import {doNothing} from './do-nothing.js';
+import {forwardedHeaders, headerValue, type HeaderList} from './message-headers.js';
 import type {EntryRequest, EntryResponse} from './request-flow.js';
 
 const {kOnHeadersComplete, kOnBody, kOnMessageComplete} = HTTPParser;
@@ -22,6 +25,7 @@
 export type EntryConnectionOptions = {
 	headers: {attempt: string; remainingTime: string};
 	clock: Clock;
+	bodyBudget: BodyBudget;
 	/** Maximum size of the headers in bytes, without the request line. */
 	maximumHeaderBytes(): number;
 	/** Maximum size of the body in bytes. */
@@ -29,6 +33,8 @@
 	/** True once responses close their connections because the node is leaving. */
 	isLeaving(): boolean;
 	handle(request: EntryRequest, respond: (response: EntryResponse) => void): () => void;
+	/** Called for a request that is rejected without being handled. */
+	onRejected(status: number, reason: string, attempt: string | undefined): void;
 };
 
 /** Times after which a connection is closed, in milliseconds. @internal */
@@ -36,10 +42,14 @@
 
 const statusesWithoutBody = new Set([204, 304]);
 const replacedHeaders: ReadonlySet<string> = new Set(['content-length']);
+/** The time after which a reservation is given up has passed; large bodies take about as long to be read and sent on. */
+const bodyRetryAfterSeconds = '1.00';
 const continueLine = 'HTTP/1.1 100 Continue\r\n\r\n';
 
 type ReceivedRequest = {
-	method: string; path: string; headers: string[]; keepAlive: boolean; chunks: Buffer[]; bodyBytes: number; hasBody: boolean; receivedAt: number;
+	method: string; path: string; headers: string[]; keepAlive: boolean; body: BodyBuffer | undefined; receivedAt: number;
+	/** Frees the reservation of a large body. */
+	release: ReleaseBody;
 };
 
 /**
@@ -52,6 +62,8 @@
 	private reading: ReceivedRequest | undefined;
 	private readonly queued: ReceivedRequest[] = [];
 	private isServingQueued = false;
+	/** True while a large body waits for its bytes to be reserved. */
+	private awaitsBudget = false;
 	private current: ReceivedRequest | undefined;
 	private cancelCurrent: (() => void) | undefined;
 	/** Start of the time that the next timeout measures. */
@@ -176,10 +188,19 @@
 			throw new UnacceptableMessage(505, 'version is not served');
 		}
 
-		const hasBody = checkFraming(info);
+		const {hasBody, length} = checkFraming(info);
 		this.reading = {
-			method, path: info.url, headers, keepAlive: info.shouldKeepAlive, chunks: [], bodyBytes: 0, hasBody, receivedAt: 0,
+			method, path: info.url, headers, keepAlive: info.shouldKeepAlive, body: undefined, receivedAt: 0, release: doNothing,
 		};
+		if (length > this.options.maximumBodyBytes()) {
+			throw new UnacceptableMessage(413, 'body too large');
+		}
+
+		if (hasBody) {
+			this.reading.body = new BodyBuffer(length);
+			this.reserveIfLarge(this.reading, length);
+		}
+
 		if (hasBody && this.current === undefined && headerValue(headers, 'expect')?.toLowerCase() === '100-continue') {
 			this.socket.write(continueLine);
 		}
@@ -193,9 +214,34 @@
 			return;
 		}
 
-		reading.bodyBytes += length;
-		if (reading.bodyBytes <= this.options.maximumBodyBytes()) {
-			reading.chunks.push(chunk.subarray(offset, offset + length));
+		reading.body!.append(chunk.subarray(offset, offset + length));
+		if (reading.body!.length > this.options.maximumBodyBytes()) {
+			throw new UnacceptableMessage(413, 'body too large');
+		}
+
+		if (reading.release === doNothing && reading.body!.length >= bodyBudgetOptions.largeBodyBytes) {
+			// A body in chunks may become as large as the limit.
+			this.reserveIfLarge(reading, this.options.maximumBodyBytes());
+		}
+	}
+
+	/** Stops reading until the bytes of a large body are reserved; rejects the request if that takes too long. */
+	private reserveIfLarge(request: ReceivedRequest, bytes: number): void {
+		if (bytes < bodyBudgetOptions.largeBodyBytes) {
+			return;
+		}
+
+		this.awaitsBudget = true;
+		request.release = this.options.bodyBudget.reserve(bytes, isReserved => {
+			this.awaitsBudget = false;
+			if (!isReserved) {
+				this.reject(503, 'no memory for the body', ['Retry-After', bodyRetryAfterSeconds]);
+			} else if (this.queued.length === 0) {
+				this.socket.resume();
+			}
+		});
+		if (this.awaitsBudget) {
+			this.socket.pause();
 		}
 	}
 
@@ -216,16 +262,11 @@
 
 	private serve(request: ReceivedRequest): void {
 		this.current = request;
-		if (request.bodyBytes > this.options.maximumBodyBytes()) {
-			this.respond(request, {status: 413, headers: [], body: undefined});
-			return;
-		}
-
 		const {headers} = this.options;
 		const remaining = Number(headerValue(request.headers, headers.remainingTime));
 		const cancel = this.options.handle({
 			method: request.method, host: headerValue(request.headers, 'host') ?? '', path: request.path, headers: request.headers,
-			body: request.hasBody ? concatChunks(request.chunks) : undefined, attempt: headerValue(request.headers, headers.attempt) ?? '',
+			body: request.body?.toBuffer(), attempt: headerValue(request.headers, headers.attempt) ?? '',
 			remainingMilliseconds: Number.isFinite(remaining) && remaining > 0 ? remaining : undefined, receivedAt: request.receivedAt,
 		}, response => {
 			this.respond(request, response);
@@ -242,6 +283,7 @@
 
 		this.current = undefined;
 		this.cancelCurrent = undefined;
+		request.release();
 		const closes = !request.keepAlive || this.options.isLeaving();
 		this.write(request.method, response, closes);
 		if (closes) {
@@ -265,7 +307,7 @@
 		}
 
 		this.isServingQueued = false;
-		if (this.current === undefined && this.socket.isPaused()) {
+		if (this.current === undefined && this.socket.isPaused() && !this.awaitsBudget) {
 			this.socket.resume();
 		}
 	}
@@ -290,32 +332,42 @@
 	 * Rejects a malformed request and ends the connection, because the start of the next request is unknown. A request that is in
 	 * progress still gets its response, after which the connection ends.
 	 */
-	private reject(status: number, reason: string): void {
-		this.reading = undefined;
-		this.queued.length = 0;
+	private reject(status: number, reason: string, headers: HeaderList = []): void {
+		this.options.onRejected(status, reason, this.reading === undefined ? undefined : headerValue(this.reading.headers, this.options.headers.attempt));
+		this.dropReading();
 		if (this.current !== undefined) {
 			this.current.keepAlive = false;
 			this.ending = true;
 			return;
 		}
 
-		this.write('GET', {status, headers: ['Content-Type', 'application/json'], body: Buffer.from(JSON.stringify({reason}))}, true);
+		this.write('GET', {status, headers: ['Content-Type', 'application/json', ...headers], body: Buffer.from(JSON.stringify({reason}))}, true);
 		this.end();
 	}
 
 	private cancelAll(): void {
-		const {cancelCurrent} = this;
+		const {cancelCurrent, current} = this;
 		this.current = undefined;
 		this.cancelCurrent = undefined;
+		this.dropReading();
+		current?.release();
+		cancelCurrent?.();
+	}
+
+	/** Drops the requests that are not being handled. */
+	private dropReading(): void {
+		for (const request of [this.reading, ...this.queued]) {
+			request?.release();
+		}
+
 		this.reading = undefined;
 		this.queued.length = 0;
-		cancelCurrent?.();
 	}
 
 	private end(): void {
 		this.ending = true;
 		this.timeoutStartedAt = this.options.clock.now();
-		this.queued.length = 0;
+		this.dropReading();
 		this.socket.resume();
 		this.socket.end();
 	}
@@ -346,11 +398,11 @@
 ]);
 
 /**
- * Returns whether a body follows.
+ * Returns whether a body follows, and its length if that is stated.
  *
  * @throws UnacceptableMessage if two parsers could disagree about the end of the request.
  */
-function checkFraming({headers, versionMinor, upgrade}: ParsedRequest): boolean {
+function checkFraming({headers, versionMinor, upgrade}: ParsedRequest): {hasBody: boolean; length: number} {
 	const framing: Framing = {length: undefined, isChunked: false, hosts: 0};
 	for (let index = 0; index < headers.length; index += 2) {
 		framingReaders.get(headers[index]!.toLowerCase())?.(framing, headers[index + 1]!, versionMinor);
@@ -365,5 +417,5 @@
 		throw new UnacceptableMessage(400, 'one host header is needed');
 	}
 
-	return isChunked || length !== undefined;
+	return {hasBody: isChunked || length !== undefined, length: Number(length ?? 0)};
 }
--- a/packages/sidecar/src/lib/entry-listener.test.ts
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -7,6 +7,7 @@
 import {
 	afterEach, beforeEach, describe, expect, it,
 } from 'vitest';
+import {bodyBudgetOptions} from './body-budget.js';
 import {processClock} from './clock.js';
 import {EntryListener, entryListenerOptions} from './entry-listener.js';
 import type {EntryResponse, EntryRequest} from './request-flow.js';
@@ -19,6 +20,8 @@
 let received: ReceivedRequest[] = [];
 let respondImmediately = true;
 let headerTimeoutMilliseconds = 3000;
+let maximumBodyBytes = 100;
+let rejected: Array<[status: number, reason: string, attempt: string | undefined]> = [];
 const sockets: Socket[] = [];
 
 const echo = (request: EntryRequest): EntryResponse => ({
@@ -29,10 +32,12 @@
 	received = [];
 	respondImmediately = true;
 	headerTimeoutMilliseconds = 3000;
+	maximumBodyBytes = 100;
+	rejected = [];
 	listener = new EntryListener({
 		address: {host, port: 0}, headers: {attempt: 'x-attempt', remainingTime: 'x-remaining'}, clock: processClock,
 		limits: () => ({
-			maximumHeaderBytes: 16_384, maximumBodyBytes: 100, headerTimeoutMilliseconds, idleTimeoutMilliseconds: 15_000,
+			maximumHeaderBytes: 16_384, maximumBodyBytes, headerTimeoutMilliseconds, idleTimeoutMilliseconds: 15_000,
 		}),
 		handle(request, respond) {
 			const entry: ReceivedRequest = {request, respond, cancelled: false};
@@ -45,6 +50,9 @@
 				entry.cancelled = true;
 			};
 		},
+		onRejected(...rejection) {
+			rejected.push(rejection);
+		},
 	});
 	await listener.listen();
 	port = listener.port;
@@ -248,6 +256,60 @@
 	expect(caller.text()).toContain('HTTP/1.1 413');
 });
 
+it('a body in chunks over the limit gets 413 before it is complete', async () => {
+	const caller = await call();
+	await caller.send(post('X-Attempt: a\r\nTransfer-Encoding: chunked\r\n', `65\r\n${'x'.repeat(101)}`));
+	expect(caller.text()).toContain('HTTP/1.1 413');
+	expect(rejected).toEqual([[413, 'body too large', 'a']]);
+});
+
+/** Guards against large bodies that together exhaust the memory of the process. */
+describe('of two large bodies', () => {
+	const bodyBytes = bodyBudgetOptions.maximumBytes;
+	const head = (framing: string, attempt: string) => post(`X-Attempt: ${attempt}\r\n${framing}`, '');
+	const withLength = `Content-Length: ${bodyBytes}\r\n`;
+	const body = Buffer.alloc(bodyBytes, 'x');
+
+	beforeEach(() => {
+		maximumBodyBytes = bodyBytes;
+		respondImmediately = false;
+	});
+
+	it('the second is read once the first is answered', async () => {
+		const [first, second] = [await call(), await call()];
+		await first.send(head(withLength, 'first'));
+		await second.send(head(withLength, 'second'));
+		first.socket.write(body);
+		second.socket.write(body);
+		await expect.poll(() => received.length).toBe(1);
+		expect(listener.reservedBodyBytes).toBe(bodyBytes);
+		received[0]!.respond({status: 200, headers: [], body: undefined});
+		await expect.poll(() => received.length).toBe(2);
+		expect(received[1]!.request.attempt).toBe('second');
+	});
+
+	it.each([
+		['with a length', withLength, ''],
+		['in chunks', 'Transfer-Encoding: chunked\r\n', `${bodyBytes.toString(16)}\r\n`],
+	])('%s the second is refused as not run if the first takes long, and small ones are served', async (_name, framing, chunkHead) => {
+		const [first, second, small] = [await call(), await call(), await call()];
+		await first.send(head(withLength, 'first'));
+		await second.send(head(framing, 'second'));
+		first.socket.write(body);
+		second.socket.write(chunkHead);
+		second.socket.write(body);
+		await expect.poll(() => received.length).toBe(1);
+		await small.send(post('Content-Length: 4\r\n', 'body'));
+		await expect.poll(() => received.length).toBe(2);
+		await expect.poll(() => second.text(), {timeout: 5000}).toContain('HTTP/1.1 503 ');
+		expect(second.text()).toContain('Retry-After: 1.00\r\n');
+		expect(rejected).toEqual([[503, 'no memory for the body', 'second']]);
+		expect(received.map(({request}) => request.attempt)).not.toContain('second');
+		first.socket.destroy();
+		await expect.poll(() => listener.reservedBodyBytes).toBe(0);
+	});
+});
+
 /** Guards against an answer that looks complete although the node was killed while its caller was reading it. */
 it('a response always states the length of its body', async () => {
 	respondImmediately = false;
--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -2,6 +2,7 @@
  * The HTTP listener for callers on this machine and for downstream calls of the local target.
  */
 import {createServer, type AddressInfo, type Server} from 'node:net';
+import {BodyBudget} from './body-budget.js';
 import type {Clock} from './clock.js';
 import {EntryConnection, type EntryConnectionOptions, type EntryTimeouts} from './entry-connection.js';
 import type {Address, CallerLimits} from './fleet-model.js';
@@ -14,6 +15,8 @@
 	clock: Clock;
 	limits(): CallerLimits | undefined;
 	handle(request: EntryRequest, respond: (response: EntryResponse) => void): () => void;
+	/** Called for a request that is rejected without being handled; `attempt` is undefined if its head is unreadable. */
+	onRejected?(status: number, reason: string, attempt: string | undefined): void;
 };
 
 /** @public */
@@ -45,15 +48,21 @@
 	private readonly server: Server;
 	private readonly connections = new Set<EntryConnection>();
 	private readonly connectionOptions: EntryConnectionOptions;
+	private readonly bodyBudget: BodyBudget;
 	private leaving = false;
 	private cancelCheck: (() => void) | undefined;
 
 	constructor(private readonly options: EntryListenerOptions) {
+		this.bodyBudget = new BodyBudget(options.clock);
 		this.connectionOptions = {
 			headers: options.headers, clock: options.clock,
 			maximumHeaderBytes: () => options.limits()?.maximumHeaderBytes ?? entryListenerOptions.defaultMaximumHeaderBytes,
 			maximumBodyBytes: () => options.limits()?.maximumBodyBytes ?? entryListenerOptions.defaultMaximumBodyBytes,
 			isLeaving: () => this.leaving,
+			bodyBudget: this.bodyBudget,
+			onRejected(status, reason, attempt) {
+				options.onRejected?.(status, reason, attempt);
+			},
 			handle: (request, respond) => options.handle(request, respond),
 		};
 		this.server = createServer({noDelay: true, allowHalfOpen: true}, socket => {
@@ -89,6 +98,11 @@
 		}
 	}
 
+	/** Bytes reserved for large bodies. */
+	get reservedBodyBytes(): number {
+		return this.bodyBudget.reservedBytes;
+	}
+
 	/** True while a connection carries a request or holds part of a response. */
 	get isBusy(): boolean {
 		return [...this.connections].some(connection => connection.isBusy);
--- a/packages/sidecar/src/lib/http-messages.ts
+++ b/packages/sidecar/src/lib/http-messages.ts
@@ -1,6 +1,5 @@
 /**
- * HTTP/1.1 helpers that the connections to callers and to the target share: both write heads the same way and receive bodies in
- * chunks.
+ * HTTP/1.1 helpers that the connections to callers and to the target share: both write heads the same way.
  */
 import {Buffer} from 'node:buffer';
 import type {Socket} from 'node:net';
@@ -40,7 +39,3 @@
 	bytes.set(body, head.length);
 	socket.write(bytes);
 }
-
-export function concatChunks(chunks: readonly Buffer[]): Buffer {
-	return chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks);
-}
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -195,6 +195,12 @@
 		this.entry = new EntryListener({
 			address: settings.entryAddress, headers, limits: () => this.records.policy?.limits,
 			handle: (request, respond) => this.requestHandler.handle(request, respond), clock,
+			onRejected: (status, reason, attempt) => {
+				this.metrics.countRequest('none', 'rejected', reason);
+				this.log.write('request', {
+					id: attempt, outcome: 'rejected', reason, status,
+				});
+			},
 		});
 		this.follower = new RecordFollower({
 			source: dependencies.createRecordSource(this.metrics), records: this.records, spread: this.spread, neighbourhood: this.neighbourhood,
--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -8,11 +8,10 @@
 import {connect, type Socket} from 'node:net';
 import {HTTPParser} from 'http-parser-js';
 import {checkConnectionEnd} from '@hemlockthread/wire';
+import {BodyBuffer} from './body-buffer.js';
 import type {Clock} from './clock.js';
 import type {Address} from './fleet-model.js';
-import {
-	concatChunks, contentLengthPattern, fieldLines, writeMessage,
-} from './http-messages.js';
+import {contentLengthPattern, fieldLines, writeMessage} from './http-messages.js';
 import {hasUnreadBytes, ResponseParser, type ParsedResponse} from './http-parsers.js';
 import {headerCount, headerValue, type HeaderList} from './message-headers.js';
 
@@ -28,8 +27,6 @@
 	maximumResponseBytes: 32 * 1024 * 1024,
 	/** Maximum number of bytes buffered for all requests together: a quarter of the memory of a small machine. */
 	maximumBufferedBytes: 80 * 1024 * 1024,
-	/** Memory overhead of each body chunk. */
-	chunkOverheadBytes: 128,
 } as const;
 
 /** @public */
@@ -180,8 +177,8 @@
 	/** True once the connection must not carry another request. */
 	private mustClose = false;
 	private info: ParsedResponse | undefined;
-	private chunks: Buffer[] = [];
-	/** Bytes received since the request was sent, and the overhead of buffering them. */
+	private body = new BodyBuffer();
+	/** Bytes received since the request was sent. */
 	private buffered = 0;
 	private idleUntil = Number.POSITIVE_INFINITY;
 	private readonly cancelConnectTimeout: () => void;
@@ -227,8 +224,7 @@
 		};
 
 		this.parser[kOnBody] = (chunk: Buffer, offset: number, length: number) => {
-			this.addBuffered(targetConnectionOptions.chunkOverheadBytes);
-			this.chunks.push(chunk.subarray(offset, offset + length));
+			this.body.append(chunk.subarray(offset, offset + length));
 		};
 
 		this.parser[kOnMessageComplete] = () => {
@@ -324,7 +320,7 @@
 	private dropBuffered(): void {
 		const bytes = this.buffered;
 		this.buffered = 0;
-		this.chunks = [];
+		this.body = new BodyBuffer();
 		if (bytes > 0) {
 			this.events.onBufferedChange(-bytes);
 		}
@@ -349,9 +345,9 @@
 
 	private completeMessage(): void {
 		const info = this.info!;
-		const body = concatChunks(this.chunks);
+		const {body} = this;
 		this.info = undefined;
-		this.chunks = [];
+		this.body = new BodyBuffer();
 		const {exchange} = this;
 		if (hasUnreadBytes(this.parser) || !info.shouldKeepAlive) {
 			this.mustClose = true;
@@ -372,7 +368,7 @@
 		this.keepOrClose(info);
 		exchange.settle({
 			type: 'answered', response: {
-				status: info.statusCode, headers: info.headers, body,
+				status: info.statusCode, headers: info.headers, body: body.toBuffer(),
 			},
 		});
 	}
