Count the calls of a cyclic call graph in time proportional to it

By reading, from the review: each path through the call graph was followed on its own, to a depth of 10. The counts are the same.

--- a/packages/sidecar/src/lib/call-profile.ts
+++ b/packages/sidecar/src/lib/call-profile.ts
@@ -70,25 +70,27 @@
 		this.merged ??= this.merge();
 		const {merged} = this;
 		const requests = new Map<string, number>();
-		const add = (current: ProfiledRoute, count: number, depth: number) => {
-			const total = current.serviceWeights.reduce((sum, {weight}) => sum + weight, 0);
-			for (const {service, weight} of current.serviceWeights) {
-				requests.set(service, (requests.get(service) ?? 0) + (count * weight / total));
-			}
-
-			if (depth >= maximumDepth) {
-				return;
-			}
+		// All paths of one length are counted together: with cycles, the number of paths grows exponentially with their length.
+		let level = new Map([[route, 1]]);
+		for (let depth = 0; depth <= maximumDepth && level.size > 0; depth += 1) {
+			const next = new Map<ProfiledRoute, number>();
+			for (const [current, count] of level) {
+				const total = current.serviceWeights.reduce((sum, {weight}) => sum + weight, 0);
+				for (const {service, weight} of current.serviceWeights) {
+					requests.set(service, (requests.get(service) ?? 0) + (count * weight / total));
+				}
 
-			for (const [called, calls] of merged.get(current.name) ?? []) {
-				const calledRoute = findRoute(called);
-				if (calledRoute !== undefined) {
-					add(calledRoute, count * calls, depth + 1);
+				for (const [called, calls] of merged.get(current.name) ?? []) {
+					const calledRoute = findRoute(called);
+					if (calledRoute !== undefined) {
+						next.set(calledRoute, (next.get(calledRoute) ?? 0) + (count * calls));
+					}
 				}
 			}
-		};
 
-		add(route, 1, 0);
+			level = next;
+		}
+
 		return requests;
 	}
 
