Don't run a timer of a long delay at once

Callers with a deadline of more than 24 days on a route without a timeout got 504 after a millisecond, with their request already sent.

--- a/packages/sidecar/src/lib/clock.ts
+++ b/packages/sidecar/src/lib/clock.ts
@@ -7,7 +7,7 @@
 export type Clock = {
 	/** Monotonic time in milliseconds. */
 	now(): number;
-	/** Runs a task after a delay; returns a function that cancels it. */
+	/** Runs a task after a delay of at most 24 days; returns a function that cancels it. */
 	after(milliseconds: number, task: () => void): () => void;
 };
 
@@ -15,6 +15,8 @@
 const coarseGranularityMilliseconds = 16;
 /** Shortest delay that is rounded; one rounding step is negligible for it. */
 const coarseThresholdMilliseconds = 100;
+/** Node.js runs a timer of a longer delay at once. */
+const maximumDelayMilliseconds = (2 ** 31) - 1;
 
 /** @public */
 export const processClock: Clock = {
@@ -23,7 +25,7 @@
 		const wait = milliseconds < coarseThresholdMilliseconds
 			? Math.max(0, milliseconds)
 			: Math.ceil(milliseconds / coarseGranularityMilliseconds) * coarseGranularityMilliseconds;
-		const timer = setTimeout(task, wait);
+		const timer = setTimeout(task, Math.min(wait, maximumDelayMilliseconds));
 		return () => {
 			clearTimeout(timer);
 		};
