--- a/packages/node/src/lib/target-client.test.ts
+++ b/packages/node/src/lib/target-client.test.ts
@@ -7,6 +7,7 @@
 	createServer, type AddressInfo, type Server, type Socket,
 } from 'node:net';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {RetryAllowance} from '@hemlockthread/identity';
 import {
 	afterEach, beforeEach, describe, expect, it,
@@ -137,3 +138,49 @@
 		expect([verdict, Buffer.from(body).toString()]).toEqual(['ran', 'third']);
 	});
 });
+
+/** Guards against a node that keeps the bytes of a faulty target without end, until its memory is exhausted. */
+describe('endless bytes end the call, and its connection is closed', () => {
+	const head = 'HTTP/1.1 200 OK\r\n';
+
+	it.each<[name: string, start: string, repeated: string]>([
+		['empty lines before the head', '', '\r\n'],
+		['a status line', 'HTTP/1.1 200 ', 'x'],
+		['a header line', `${head}X-Long: `, 'x'],
+		['header lines', head, 'X-Again: 1\r\n'],
+		['interim responses', '', 'HTTP/1.1 102 Processing\r\n\r\n'],
+		['a body without a length', `${head}\r\n`, 'x'],
+		['a body of a stated length', `${head}Content-Length: 999999999999\r\n\r\n`, 'x'],
+		['chunks', `${head}Transfer-Encoding: chunked\r\n\r\n`, '1\r\nx\r\n'],
+		['a chunk extension', `${head}Transfer-Encoding: chunked\r\n\r\n1;`, 'x'],
+		['trailer lines', `${head}Transfer-Encoding: chunked\r\n\r\n0\r\n`, 'X-Again: 1\r\n'],
+	])('%s', async (_name, start, repeated) => {
+		let closed = false;
+		let written = 0;
+		const block = Buffer.from(repeated.repeat(Math.ceil(65_536 / repeated.length)));
+		answer = socket => {
+			socket.removeAllListeners('data');
+			socket.once('close', () => {
+				closed = true;
+			});
+			const write = () => {
+				while (!closed && !socket.destroyed) {
+					written += block.length;
+					if (!socket.write(block)) {
+						socket.once('drain', write);
+						return;
+					}
+				}
+			};
+
+			socket.write(start);
+			write();
+		};
+
+		const before = process.memoryUsage.rss();
+		expect(await send()).toMatchObject({verdict: 'may-have-run'});
+		await expect.poll(() => closed).toBe(true);
+		expect(process.memoryUsage.rss() - before).toBeLessThan(256 * 1024 * 1024);
+		expect(written).toBeGreaterThan(0);
+	});
+});
--- a/packages/node/src/lib/target-client.ts
+++ b/packages/node/src/lib/target-client.ts
@@ -5,9 +5,9 @@
 import {Agent, type ClientRequest, type IncomingMessage} from 'node:http';
 import type {Socket} from 'node:net';
 import {performance} from 'node:perf_hooks';
-import {checkConnectionEnd, frameLimits} from '@hemlockthread/wire';
+import {checkConnectionEnd, frameLimits, readResponse} from '@hemlockthread/wire';
 import {
-	RefusalReason, Verdict, isVerdict, type VerdictName,
+	RefusalReason, ResponseTooLargeError, Verdict, isVerdict, type VerdictName,
 } from '@hemlockthread/verdict';
 import wreck from '@hapi/wreck';
 import {
@@ -64,7 +64,7 @@
 		const connection = new ObservedConnection(request.req);
 		try {
 			const response = await request;
-			const body = await wreck.read(response, {maxBytes: frameLimits.maximumBodyBytes, timeout: remaining});
+			const body = await readResponse(response, {maximumBytes: frameLimits.maximumBodyBytes, timeoutMilliseconds: remaining});
 			if (isCloseDelimited(response)) {
 				await connection.check();
 			}
@@ -74,7 +74,7 @@
 				return {...refusal(Verdict.mayHaveRun, RefusalReason.targetFailed), leaving: false};
 			}
 
-			return readResponse(response, body);
+			return toResult(response, body);
 		} catch (error) {
 			return {...toFailure(error, call), leaving: false};
 		} finally {
@@ -152,7 +152,7 @@
 	return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
 
-function readResponse(response: IncomingMessage, body: Uint8Array): TargetResponse {
+function toResult(response: IncomingMessage, body: Uint8Array): TargetResponse {
 	const headers: Record<string, string> = {};
 	for (const name of forwardedResponseHeaders) {
 		const value = response.headers[name];
@@ -178,7 +178,7 @@
 		return refusal(Verdict.didNotRun, RefusalReason.targetFailed);
 	}
 
-	if ((error as {output?: {statusCode?: number}}).output?.statusCode === 413) {
+	if (error instanceof ResponseTooLargeError) {
 		return refusal(Verdict.mayHaveRun, RefusalReason.answerTooLarge);
 	}
 
--- a/packages/verdict/src/index.ts
+++ b/packages/verdict/src/index.ts
@@ -10,5 +10,5 @@
 	RefusalReason, refusalRules, type RefusalReasonName, type RefusalRule,
 } from './lib/refusal-reason.js';
 export {
-	BaseError, CallError, SettingsError, RecordError, ProtocolError, type CallErrorOptions,
+	BaseError, CallError, SettingsError, RecordError, ProtocolError, ResponseTooLargeError, type CallErrorOptions,
 } from './lib/errors.js';
--- a/packages/verdict/src/lib/errors.ts
+++ b/packages/verdict/src/lib/errors.ts
@@ -55,3 +55,10 @@
  * @public
  */
 export const ProtocolError = BaseError.subclass('ProtocolError');
+
+/**
+ * An HTTP response whose body exceeds the limit of its reader.
+ *
+ * @public
+ */
+export const ResponseTooLargeError = BaseError.subclass('ResponseTooLargeError');
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -12,6 +12,7 @@
 	fullJitter, waitForAbort, abortableDelay, type JitterRange,
 } from './lib/full-jitter.js';
 export {checkConnectionEnd} from './lib/connection-end.js';
+export {readResponse, type ReadResponseOptions} from './lib/read-response.js';
 export {LinkClock} from './lib/link-clock.js';
 export {
 	PeerConnection, connectionOptions, type ConnectionOptions, type PeerHandlers, type RequestPayload, type ResponsePayload, type LocalPeer,
