--- a/packages/node/src/lib/target-client.test.ts
+++ b/packages/node/src/lib/target-client.test.ts
@@ -164,7 +164,7 @@
 				closed = true;
 			});
 			const write = () => {
-				while (!closed && !socket.destroyed) {
+				while (!socket.destroyed) {
 					written += block.length;
 					if (!socket.write(block)) {
 						socket.once('drain', write);
