Bound the memory of large answers that callers don't read

An answer that is ready was held for its caller without a limit for all callers together: 20 callers that stop reading answers of 32 MB exceed the memory of a machine, which ends the process and every request in progress.

Beyond 64 MB of large unread answers, the connections that have been unread for longest are closed. Since answers state their length, the cut is visible. The new test holds 8 answers of 16 MB; before, no connection was closed and 128 MB stayed in memory.

--- a/packages/sidecar/src/lib/entry-connection.ts
+++ b/packages/sidecar/src/lib/entry-connection.ts
@@ -110,6 +110,16 @@
 		return this.carriesRequest() || this.socket.writableLength > 0;
 	}
 
+	/** Bytes of responses that the caller has not read yet, beyond what the operating system holds. */
+	get unsentBytes(): number {
+		return this.socket.writableLength;
+	}
+
+	/** Start of the time for which the connection waits for its caller, if it carries no request. */
+	get waitingSince(): number {
+		return this.timeoutStartedAt;
+	}
+
 	/** Ends the connection if it carries no request and no part of one. */
 	endIfIdle(): void {
 		if (!this.ending && !this.carriesRequest() && !isInsideHead(this.parser)) {
--- a/packages/sidecar/src/lib/entry-listener.test.ts
+++ b/packages/sidecar/src/lib/entry-listener.test.ts
@@ -21,6 +21,7 @@
 let respondImmediately = true;
 let headerTimeoutMilliseconds = 3000;
 let maximumBodyBytes = 100;
+let dropped: number[] = [];
 let rejected: Array<[status: number, reason: string, attempt: string | undefined]> = [];
 const sockets: Socket[] = [];
 
@@ -34,6 +35,7 @@
 	headerTimeoutMilliseconds = 3000;
 	maximumBodyBytes = 100;
 	rejected = [];
+	dropped = [];
 	listener = new EntryListener({
 		address: {host, port: 0}, headers: {attempt: 'x-attempt', remainingTime: 'x-remaining'}, clock: processClock,
 		limits: () => ({
@@ -53,6 +55,9 @@
 		onRejected(...rejection) {
 			rejected.push(rejection);
 		},
+		onUnreadDropped(bytes) {
+			dropped.push(bytes);
+		},
 	});
 	await listener.listen();
 	port = listener.port;
@@ -310,6 +315,32 @@
 	});
 });
 
+/** Guards against a process that runs out of memory because callers don't read large answers. */
+it('of large answers that nobody reads, the oldest are cut, and the newest one arrives whole', async () => {
+	respondImmediately = false;
+	const answerBytes = 16 * 1024 * 1024;
+	const callers: Caller[] = [];
+	for (let index = 0; index < 8; index += 1) {
+		const caller = await call();
+		await caller.send(get(`/${index}`));
+		caller.socket.pause();
+		callers.push(caller);
+		received[index]!.respond({status: 200, headers: [], body: Buffer.alloc(answerBytes, 'x')});
+		await delay(10);
+	}
+
+	expect(dropped.length).toBeGreaterThanOrEqual(4);
+	expect(listener.unsentBytes).toBeLessThanOrEqual(entryListenerOptions.maximumUnsentBytes);
+	for (const {socket} of callers) {
+		socket.resume();
+	}
+
+	const lengths = () => callers.map(caller => caller.text().length);
+	await expect.poll(() => lengths().at(-1)).toBeGreaterThan(answerBytes);
+	expect(lengths()[0]).toBeLessThan(answerBytes);
+	expect(callers[0]!.text()).toContain(`Content-Length: ${answerBytes}`);
+});
+
 /** Guards against an answer that looks complete although the node was killed while its caller was reading it. */
 it('a response always states the length of its body', async () => {
 	respondImmediately = false;
--- a/packages/sidecar/src/lib/entry-listener.ts
+++ b/packages/sidecar/src/lib/entry-listener.ts
@@ -17,6 +17,8 @@
 	handle(request: EntryRequest, respond: (response: EntryResponse) => void): () => void;
 	/** Called for a request that is rejected without being handled; `attempt` is undefined if its head is unreadable. */
 	onRejected?(status: number, reason: string, attempt: string | undefined): void;
+	/** Called when a connection is closed because its caller does not read a large answer. */
+	onUnreadDropped?(bytes: number): void;
 };
 
 /** @public */
@@ -33,6 +35,10 @@
 	checkIntervalMilliseconds: 500,
 	/** Maximum number of connections waiting to be accepted. */
 	backlog: 1024,
+	/** Size from which an answer is large: after each one, the unread answers are counted. */
+	largeAnswerBytes: 1024 * 1024,
+	/** Maximum number of bytes in unread answers of all callers together. */
+	maximumUnsentBytes: 64 * 1024 * 1024,
 	/** Maximum size of the headers before a policy is known. */
 	defaultMaximumHeaderBytes: 64 * 1024,
 	/** Maximum size of a body before a policy is known. */
@@ -63,7 +69,12 @@
 			onRejected(status, reason, attempt) {
 				options.onRejected?.(status, reason, attempt);
 			},
-			handle: (request, respond) => options.handle(request, respond),
+			handle: (request, respond) => options.handle(request, response => {
+				respond(response);
+				if (response.body !== undefined && response.body.length >= entryListenerOptions.largeAnswerBytes) {
+					this.dropUnread();
+				}
+			}),
 		};
 		this.server = createServer({noDelay: true, allowHalfOpen: true}, socket => {
 			const connection: EntryConnection = new EntryConnection(socket, this.connectionOptions, () => {
@@ -103,6 +114,11 @@
 		return this.bodyBudget.reservedBytes;
 	}
 
+	/** Bytes of answers that callers have not read yet. */
+	get unsentBytes(): number {
+		return [...this.connections].reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+	}
+
 	/** True while a connection carries a request or holds part of a response. */
 	get isBusy(): boolean {
 		return [...this.connections].some(connection => connection.isBusy);
@@ -121,6 +137,25 @@
 		}
 	}
 
+	/**
+	 * Closes the connections whose callers have left large answers unread for longest, until the others fit into memory. An answer that
+	 * is cut this way lacks bytes of its stated length.
+	 */
+	private dropUnread(): void {
+		const unread = [...this.connections].filter(({unsentBytes}) => unsentBytes >= entryListenerOptions.largeAnswerBytes)
+			.toSorted((first, second) => first.waitingSince - second.waitingSince);
+		let total = unread.reduce((sum, {unsentBytes}) => sum + unsentBytes, 0);
+		for (const connection of unread.slice(0, -1)) {
+			if (total <= entryListenerOptions.maximumUnsentBytes) {
+				return;
+			}
+
+			total -= connection.unsentBytes;
+			this.options.onUnreadDropped?.(connection.unsentBytes);
+			connection.destroy();
+		}
+	}
+
 	private scheduleCheck(): void {
 		this.cancelCheck = this.options.clock.after(entryListenerOptions.checkIntervalMilliseconds, () => {
 			const now = this.options.clock.now();
--- a/packages/sidecar/src/lib/sidecar.ts
+++ b/packages/sidecar/src/lib/sidecar.ts
@@ -201,6 +201,9 @@
 					id: attempt, outcome: 'rejected', reason, status,
 				});
 			},
+			onUnreadDropped: bytes => {
+				this.log.write('unread-answer-dropped', {bytes});
+			},
 		});
 		this.follower = new RecordFollower({
 			source: dependencies.createRecordSource(this.metrics), records: this.records, spread: this.spread, neighbourhood: this.neighbourhood,
