--- a/packages/sidecar/src/lib/target-connection.ts
+++ b/packages/sidecar/src/lib/target-connection.ts
@@ -27,6 +27,8 @@
 	maximumResponseBytes: 32 * 1024 * 1024,
 	/** Maximum number of bytes buffered for all requests together: a quarter of the memory of a small machine. */
 	maximumBufferedBytes: 80 * 1024 * 1024,
+	/** Counted in addition for each body chunk: reading endless tiny chunks up to the maximum number of bytes takes seconds. */
+	chunkOverheadBytes: 128,
 } as const;
 
 /** @public */
@@ -178,7 +180,7 @@
 	private mustClose = false;
 	private info: ParsedResponse | undefined;
 	private body = new BodyBuffer();
-	/** Bytes received since the request was sent. */
+	/** Bytes received since the request was sent, and the overhead of body chunks. */
 	private buffered = 0;
 	private idleUntil = Number.POSITIVE_INFINITY;
 	private readonly cancelConnectTimeout: () => void;
@@ -224,6 +226,7 @@
 		};
 
 		this.parser[kOnBody] = (chunk: Buffer, offset: number, length: number) => {
+			this.addBuffered(targetConnectionOptions.chunkOverheadBytes);
 			this.body.append(chunk.subarray(offset, offset + length));
 		};
 
