--- a/review/support-2/case-run.js
+++ b/review/support-2/case-run.js
@@ -10,9 +10,6 @@
 const maximumMilliseconds = 110_000;
 const exitStatus = {held: 0, broken: 1, notRun: 2};
 
-/** False if the case is to run without its disruption. */
-export const isTroubled = process.env.TROUBLE !== '0';
-
 /** Rejects when the case is stopped or takes too long. */
 async function waitForInterruption() {
 	return new Promise((_resolve, reject) => {
@@ -29,7 +26,7 @@
 }
 
 /** `play` gets a fleet and a function that adds a line to the record; it resolves with true if the rule was broken. */
-export async function runCase(recordFile, play) {
+export async function runCase({recordFile, isTroubled}, play) {
 	const lines = [];
 	const note = text => {
 		lines.push(`${Math.round(performance.now())} ms ${text}`);
