--- a/review/support-2/fleet.js
+++ b/review/support-2/fleet.js
@@ -26,6 +26,8 @@
 export const grace = 6000;
 /** Delay after which the platform starts a process again that has ended. */
 const restartMilliseconds = 300;
+/** Time for all nodes to become ready. */
+const startMilliseconds = 30_000;
 
 /** Loopback hosts of this process, so that two scripts don't meet. */
 function hostOf(index) {
@@ -159,8 +161,11 @@
 	#version = 0;
 	#services = [];
 
-	/** `services` names the service of each machine, `zones` the zones over which the machines are spread. */
-	async start({services, zones, routes, slots, startMilliseconds = 30_000}) {
+	/**
+	 * `services` names the service of each machine, `zones` the zones over which the machines are spread. The last `unstarted` machines have no
+	 * server yet.
+	 */
+	async start({services, zones, routes, slots, unstarted = 0}) {
 		const hosts = services.map((_service, index) => hostOf(index));
 		const [server, entry, ready, peer] = await freePorts(hosts[0], 4);
 		const ports = {
@@ -178,8 +183,10 @@
 				name: `machine-${index}`, service, zone: zones[index % zones.length], host: hosts[index], ports, storeAddress: `${hosts[index]}:${storePort}`,
 			});
 			this.machines.push(machine);
-			await machine.server.listen(machine.host, server);
-			this.publishServer(machine, slots);
+			if (index < services.length - unstarted) {
+				await machine.server.listen(machine.host, server);
+				this.publishServer(machine, slots);
+			}
 		}
 
 		for (const machine of this.machines) {
@@ -214,7 +221,7 @@
 
 	publishServer({server, service, host, ports, zone}, slots, state = 'ready') {
 		this.store.put(`servers/${server.id}`, {
-			service, address: `${host}:${ports.server}`, zone, version: 'v1', slots, state, coldRemaining: '0ms', sequence: 4, born: 1,
+			service, address: `${host}:${ports.server}`, zone, version: 'v1', slots, state, coldRemaining: '0ms', sequence: 4, born: Date.now(),
 		});
 	}
 
--- a/review/support-2/store.js
+++ b/review/support-2/store.js
@@ -15,15 +15,11 @@
 	#revision = 0;
 	#watches = new Set();
 	#servers = [];
-	/** Hosts at which calls are turned away with 503; each machine has an address of the store for itself. */
-	turnedAway = new Set();
-	/** By host, when a machine last called the store. */
-	lastCallAt = new Map();
 
 	/** Listens on a host; all hosts have the same port. */
 	async listen(host, port = 0) {
 		const server = createServer((request, response) => {
-			this.#receive(request, response, host);
+			this.#receive(request, response);
 		});
 		server.listen(port, host);
 		await once(server, 'listening');
@@ -31,23 +27,7 @@
 		return server.address().port;
 	}
 
-	/** Turns machines away from now on; their waiting watches are cut. */
-	turnAway(hosts) {
-		this.turnedAway = new Set(hosts);
-		for (const {response, host} of this.#watches) {
-			if (this.turnedAway.has(host)) {
-				response.socket.destroy();
-			}
-		}
-	}
-
-	#receive(request, response, host) {
-		this.lastCallAt.set(host, performance.now());
-		if (this.turnedAway.has(host)) {
-			send(response, 503, {});
-			return;
-		}
-
+	#receive(request, response) {
 		const url = new URL(request.url, 'http://store');
 		const prefix = url.searchParams.get('prefix') ?? '';
 		const routes = {
@@ -55,7 +35,7 @@
 				this.#range(prefix, url.searchParams.get('after') ?? '', response);
 			},
 			'/hemlockthread/kv-watch': () => {
-				this.#watch(prefix, Number(url.searchParams.get('after')), Number(url.searchParams.get('waitMs')), response, host);
+				this.#watch(prefix, Number(url.searchParams.get('after')), Number(url.searchParams.get('waitMs')), response);
 			},
 		};
 		const route = routes[url.pathname];
@@ -102,14 +82,14 @@
 		send(response, 200, {items: page, hasMore: page.length < items.length, currentRev: this.#revision});
 	}
 
-	#watch(prefix, after, waitMilliseconds, response, host) {
+	#watch(prefix, after, waitMilliseconds, response) {
 		const events = this.#events.filter(({key, revision}) => key.startsWith(prefix) && revision > after);
 		if (events.length > 0) {
 			send(response, 200, {events, currentRev: this.#revision});
 			return;
 		}
 
-		const watch = {prefix, response, host};
+		const watch = {prefix, response};
 		watch.timer = setTimeout(() => {
 			this.#answer(watch, []);
 		}, waitMilliseconds);
